Start the build: modules, formatter, linter, shared value types

Cause: nothing exists yet; every later change needs a build that checks itself. Change: six Maven modules, spotless, Checkstyle, Error Prone, NullAway, value types and errors.

--- /dev/null
+++ b/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/package-info.java
@@ -0,0 +1,5 @@
+/** Module cli. */
+@NullMarked
+package org.coltsfootvale.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/error/ColtsfootvaleException.java
@@ -0,0 +1,74 @@
+package org.coltsfootvale.core.error;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The root of the typed errors. Carries the kind, the detail, what is known of the outcome and,
+ * where asking again can help, when to do so.
+ */
+public class ColtsfootvaleException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  private final ErrorKind kind;
+  private final Outcome outcome;
+  private final @Nullable Duration retryAfter;
+
+  /** Creates an error without a time to retry and without a cause. */
+  public ColtsfootvaleException(ErrorKind kind, Outcome outcome, String detail) {
+    this(kind, outcome, detail, null, null);
+  }
+
+  /**
+   * Creates an error.
+   *
+   * @param kind the kind, which names the remedy
+   * @param outcome whether the request is known not to have run
+   * @param detail what went wrong, in one sentence
+   * @param retryAfter how long to wait before asking again, or null if asking again cannot help
+   * @param cause the underlying failure, or null
+   */
+  public ColtsfootvaleException(
+      ErrorKind kind,
+      Outcome outcome,
+      String detail,
+      @Nullable Duration retryAfter,
+      @Nullable Throwable cause) {
+    super(detail, cause);
+    this.kind = kind;
+    this.outcome = outcome;
+    this.retryAfter = retryAfter;
+  }
+
+  /** Returns an error of a request that did not run. */
+  public static ColtsfootvaleException notRun(ErrorKind kind, String detail) {
+    return new ColtsfootvaleException(kind, Outcome.NOT_RUN, detail);
+  }
+
+  /** Returns an error of a request that did not run and may be sent again later. */
+  public static ColtsfootvaleException notRun(ErrorKind kind, String detail, Duration retryAfter) {
+    return new ColtsfootvaleException(kind, Outcome.NOT_RUN, detail, retryAfter, null);
+  }
+
+  /** Returns an error of a request that may have run. */
+  public static ColtsfootvaleException unknown(ErrorKind kind, String detail) {
+    return new ColtsfootvaleException(kind, Outcome.UNKNOWN, detail);
+  }
+
+  /** Returns the kind of error. */
+  public ErrorKind kind() {
+    return kind;
+  }
+
+  /** Returns whether the request is known not to have run. */
+  public Outcome outcome() {
+    return outcome;
+  }
+
+  /** Returns how long to wait before asking again; empty if asking again cannot help. */
+  public Optional<Duration> retryAfter() {
+    return Optional.ofNullable(retryAfter);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/error/package-info.java
@@ -0,0 +1,5 @@
+/** The root of the typed errors, their kinds and outcomes. */
+@NullMarked
+package org.coltsfootvale.core.error;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/model/Liveness.java
@@ -0,0 +1,13 @@
+package org.coltsfootvale.core.model;
+
+/** The state of a router or an engine in the membership view. */
+public enum Liveness {
+  /** Answers its observers. */
+  LIVE,
+  /** Has missed heartbeats; may still be alive. */
+  SUSPECT,
+  /** Finishes what runs and takes no new work. */
+  LEAVING,
+  /** Has not answered within the suspicion timeout. */
+  DEAD
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/settings/package-info.java
@@ -0,0 +1,5 @@
+/** The checked settings of a router process. */
+@NullMarked
+package org.coltsfootvale.core.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/Checks.java
@@ -0,0 +1,56 @@
+package org.coltsfootvale.core.support;
+
+import java.util.Locale;
+import java.util.regex.Pattern;
+
+/** Argument checks whose messages name the argument, the value and what would be accepted. */
+public final class Checks {
+
+  private static final int IDENTIFIER_LENGTH_MAX = 128;
+  private static final Pattern IDENTIFIER = Pattern.compile("[A-Za-z0-9._:-]+");
+
+  private Checks() {}
+
+  /**
+   * Checks that a condition on an argument holds.
+   *
+   * @throws IllegalArgumentException with the formatted message if it does not
+   */
+  public static void argument(boolean condition, String format, Object... arguments) {
+    if (!condition) {
+      throw new IllegalArgumentException(String.format(Locale.ROOT, format, arguments));
+    }
+  }
+
+  /**
+   * Checks an identifier and returns it.
+   *
+   * @throws IllegalArgumentException if it is empty, too long or holds another character than
+   *     letters, digits, '.', '_', ':' and '-'
+   */
+  public static String identifier(String value, String name) {
+    argument(
+        !value.isEmpty() && value.length() <= IDENTIFIER_LENGTH_MAX,
+        "%s must have 1 to %d characters, but has %d",
+        name,
+        IDENTIFIER_LENGTH_MAX,
+        value.length());
+    argument(
+        IDENTIFIER.matcher(value).matches(),
+        "%s '%s' may hold only letters, digits, '.', '_', ':' and '-'",
+        name,
+        value);
+    return value;
+  }
+
+  /**
+   * Checks that a number lies in a closed range and returns it.
+   *
+   * @throws IllegalArgumentException if it lies outside
+   */
+  public static double range(double value, double min, double max, String name) {
+    argument(
+        value >= min && value <= max, "%s must be in %s..%s, but is %s", name, min, max, value);
+    return value;
+  }
+}
--- /dev/null
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/package-info.java
@@ -0,0 +1,5 @@
+/** Module protocol. */
+@NullMarked
+package org.coltsfootvale.protocol;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/package-info.java
@@ -0,0 +1,5 @@
+/** Module router. */
+@NullMarked
+package org.coltsfootvale.router;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/package-info.java
@@ -0,0 +1,5 @@
+/** Module testkit. */
+@NullMarked
+package org.coltsfootvale.testkit;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/package-info.java
@@ -0,0 +1,5 @@
+/** Module verify. */
+@NullMarked
+package org.coltsfootvale.verify;
+
+import org.jspecify.annotations.NullMarked;
