Fix the interfaces between the decision packages and of the inner protocol

Cause: packages are built side by side and need fixed seams. Ruled out: leaving each seam to its package; two of them would have met only in the daemon. Change: ports and records of core, protobuf messages, peer transport interfaces, generator profile.

--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/admission/ShareGrant.java
@@ -0,0 +1,23 @@
+package org.coltsfootvale.core.admission;
+
+import java.time.Duration;
+import java.util.List;
+import org.coltsfootvale.core.model.OrganisationId;
+
+/**
+ * The shares of one router.
+ *
+ * @param shares a share for each organisation asked for
+ * @param validFor how long they may be used
+ */
+public record ShareGrant(List<Share> shares, Duration validFor) {
+
+  /** Copies the list. */
+  public ShareGrant {
+    shares = List.copyOf(shares);
+  }
+
+  /** The share of one organisation's limits. */
+  public record Share(
+      OrganisationId organisation, double requestsPerSecond, double tokensPerSecond) {}
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/Gossip.java
@@ -0,0 +1,23 @@
+package org.coltsfootvale.core.gossip;
+
+import java.util.List;
+import org.coltsfootvale.core.model.RouterId;
+
+/**
+ * Push-pull gossip within a byte budget. Produces messages to send and takes received ones; does no
+ * I/O. Thread-safe.
+ */
+public interface Gossip {
+
+  /** Returns the messages that are due now; to be called several times a second. */
+  List<AddressedMessage> dueMessages();
+
+  /** Takes a received message and returns the replies. */
+  List<AddressedMessage> onMessage(RouterId from, GossipMessage message);
+
+  /** Returns the counters since the start. */
+  GossipCounters counters();
+
+  /** A message and the router it goes to. */
+  record AddressedMessage(RouterId to, GossipMessage message) {}
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/platform/KeyValue.java
@@ -0,0 +1,12 @@
+package org.coltsfootvale.core.platform;
+
+/**
+ * A stored value.
+ *
+ * @param key its key
+ * @param value its bytes; not to be modified
+ * @param createRevision the store's revision at which the key was created
+ * @param modRevision the store's revision of the last write of the key
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record KeyValue(String key, byte[] value, long createRevision, long modRevision) {}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/AcceptedNote.java
@@ -0,0 +1,12 @@
+package org.coltsfootvale.core.release;
+
+import java.time.Instant;
+
+/**
+ * An accepted release note.
+ *
+ * @param revision its place in the log, from 1
+ * @param note the note
+ * @param acceptedAt the time of the submitting router at the commit
+ */
+public record AcceptedNote(long revision, ReleaseNote note, Instant acceptedAt) {}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/ModelSpec.java
@@ -0,0 +1,11 @@
+package org.coltsfootvale.core.release;
+
+import org.coltsfootvale.core.model.ModelId;
+
+/**
+ * A model that callers may name.
+ *
+ * @param id its name
+ * @param contextTokensMax the greatest number of prompt and answer tokens of a request
+ */
+public record ModelSpec(ModelId id, int contextTokensMax) {}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/retry/RetryDecision.java
@@ -0,0 +1,17 @@
+package org.coltsfootvale.core.retry;
+
+import java.time.Duration;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+
+/** What follows a failed attempt. */
+public sealed interface RetryDecision {
+
+  /** Tries another backend server after a delay. */
+  record Elsewhere(Duration delay) implements RetryDecision {}
+
+  /** Resumes the partial answer at the same engine on a new connection after a delay. */
+  record Resume(Duration delay) implements RetryDecision {}
+
+  /** Ends the request with an error, at once. */
+  record GiveUp(ColtsfootvaleException error) implements RetryDecision {}
+}
--- /dev/null
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerHandler.java
@@ -0,0 +1,28 @@
+package org.coltsfootvale.protocol;
+
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.protocol.wire.DemandReport;
+import org.coltsfootvale.protocol.wire.ForwardRequest;
+import org.coltsfootvale.protocol.wire.Gossip;
+import org.coltsfootvale.protocol.wire.NotesReply;
+import org.coltsfootvale.protocol.wire.NotesRequest;
+import org.coltsfootvale.protocol.wire.ShareGrant;
+
+/** Serves the messages of authenticated peers; called on transport threads, never blocks. */
+public interface PeerHandler {
+
+  /** Takes a gossip message; replies are sent through {@link PeerTransport#send}. */
+  void onGossip(RouterIncarnation from, Gossip message);
+
+  /** Answers a demand report. */
+  ShareGrant onDemandReport(RouterIncarnation from, DemandReport report);
+
+  /** Answers a request for release notes. */
+  NotesReply onNotesRequest(RouterIncarnation from, NotesRequest request);
+
+  /** Serves a forwarded request. */
+  void onForward(RouterIncarnation from, ForwardRequest request, ForwardResponder responder);
+
+  /** Tells that a peer has proved to be alive: a handshake or a heartbeat was answered. */
+  void onPeerAlive(RouterIncarnation peer);
+}
