--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/error/ColtsfootvaleException.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/error/ColtsfootvaleException.java
@@ -14,6 +14,7 @@
 
   private final ErrorKind kind;
   private final Outcome outcome;
+  private final String detail;
   private final @Nullable Duration retryAfter;
 
   /** Creates an error without a time to retry and without a cause. */
@@ -39,6 +40,7 @@
     super(detail, cause);
     this.kind = kind;
     this.outcome = outcome;
+    this.detail = detail;
     this.retryAfter = retryAfter;
   }
 
@@ -57,6 +59,11 @@
     return new ColtsfootvaleException(kind, Outcome.UNKNOWN, detail);
   }
 
+  @Override
+  public String getMessage() {
+    return detail;
+  }
+
   /** Returns the kind of error. */
   public ErrorKind kind() {
     return kind;
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/Checks.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/Checks.java
@@ -1,5 +1,6 @@
 package org.coltsfootvale.core.support;
 
+import java.net.URI;
 import java.util.Locale;
 import java.util.regex.Pattern;
 
@@ -53,4 +54,19 @@
         value >= min && value <= max, "%s must be in %s..%s, but is %s", name, min, max, value);
     return value;
   }
+
+  /**
+   * Checks that an address is absolute and of HTTP and returns it.
+   *
+   * @throws IllegalArgumentException if it is not
+   */
+  public static URI httpUrl(URI value, String name) {
+    boolean http = "http".equals(value.getScheme()) || "https".equals(value.getScheme());
+    argument(
+        http && value.getHost() != null,
+        "%s must be an address such as http://10.0.0.1:2379, but is %s",
+        name,
+        value);
+    return value;
+  }
 }
