--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/DefaultGossip.java
@@ -0,0 +1,315 @@
+package org.coltsfootvale.core.gossip;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.model.Liveness;
+import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.model.RouterView;
+
+/**
+ * Gossip over a bounded mesh of links. Each link remembers which changes it has carried, so that an
+ * entry crosses it once; digests find what a lost message left out. A new release revision and
+ * leaving flags are passed on at once, other changes at the gossip interval.
+ */
+public final class DefaultGossip implements Gossip {
+
+  private static final int DIGEST_MISMATCHES_MAX = 4;
+  private static final int INBOUND_LINKS_MAX = 64;
+  private static final Duration PAUSE_MIN = Duration.ofSeconds(1);
+  private static final Duration INBOUND_LINK_RETENTION = Duration.ofSeconds(10);
+
+  private final RouterId self;
+  private final EntryStore store;
+  private final GossipOptions options;
+  private final GossipSizes sizes;
+  private final PeerSelector selector;
+  private final Supplier<List<HostPort>> seeds;
+  private final InstantSource clock;
+  private final UniformRandomProvider random;
+  private final Object lock = new Object();
+  private final Map<RouterId, GossipLink> links = new LinkedHashMap<>();
+  private final GossipTraffic traffic;
+  private long selectedAtChange = -1;
+  private Instant calledAt = Instant.EPOCH;
+  private Instant probedAt = Instant.EPOCH;
+  private Instant seedsProbedAt = Instant.EPOCH;
+
+  /**
+   * Creates gossip for one router.
+   *
+   * @param self the router
+   * @param store its entries
+   * @param options limits and intervals
+   * @param sizes encoded sizes, for the byte budget
+   * @param selector the choice of peers
+   * @param seeds peer addresses to start from and to heal through; may change over time
+   * @param clock the time
+   * @param random picks seeds and dead routers to probe
+   */
+  public DefaultGossip(
+      RouterIncarnation self,
+      EntryStore store,
+      GossipOptions options,
+      GossipSizes sizes,
+      PeerSelector selector,
+      Supplier<List<HostPort>> seeds,
+      InstantSource clock,
+      UniformRandomProvider random) {
+    this.self = self.id();
+    this.store = store;
+    this.options = options;
+    this.sizes = sizes;
+    this.selector = selector;
+    this.seeds = seeds;
+    this.clock = clock;
+    this.random = random;
+    this.traffic = new GossipTraffic(options, clock.instant());
+  }
+
+  @Override
+  public List<AddressedMessage> dueMessages() {
+    synchronized (lock) {
+      Instant now = clock.instant();
+      forgiveSilenceAfterPause(now);
+      refreshLinks(now);
+      reportSilence(now);
+      List<AddressedMessage> due = new ArrayList<>();
+      for (Map.Entry<RouterId, GossipLink> link : links.entrySet()) {
+        if (link.getValue().chosen && isDue(link.getValue(), now)) {
+          due.add(compose(link.getKey(), link.getValue(), false, now));
+        }
+      }
+      probeDeadRouter(now).ifPresent(due::add);
+      return due;
+    }
+  }
+
+  @Override
+  public List<SeedMessage> dueSeedMessages() {
+    synchronized (lock) {
+      Instant now = clock.instant();
+      if (now.isBefore(seedsProbedAt.plus(options.probeInterval()))) {
+        return List.of();
+      }
+      seedsProbedAt = now;
+      List<HostPort> candidates = unknownSeeds();
+      if (candidates.isEmpty()) {
+        return List.of();
+      }
+      GossipMessage message = message(false, List.of(store.ownEntry()));
+      traffic.sent(sizes.ofMessage(message), now);
+      return List.of(new SeedMessage(candidates.get(random.nextInt(candidates.size())), message));
+    }
+  }
+
+  @Override
+  public List<AddressedMessage> onMessage(RouterId from, GossipMessage message) {
+    synchronized (lock) {
+      Instant now = clock.instant();
+      traffic.received(sizes.ofMessage(message), now);
+      for (GossipEntry entry : message.entries()) {
+        if (store.merge(from, entry) == EntryStore.MergeResult.STALE) {
+          traffic.stale();
+        }
+      }
+      refreshLinks(now);
+      GossipLink link = linkFrom(from, now);
+      link.heardAt = now;
+      compareDigests(link, message, now);
+      List<AddressedMessage> out = new ArrayList<>();
+      boolean thoughtDead = isThoughtDead(from);
+      if (!message.reply() && (!link.chosen || thoughtDead)) {
+        out.add(compose(from, link, true, now));
+      }
+      addUrgent(out, now);
+      return out;
+    }
+  }
+
+  @Override
+  public GossipCounters counters() {
+    synchronized (lock) {
+      return traffic.counters();
+    }
+  }
+
+  private void refreshLinks(Instant now) {
+    long change = store.routerChanges();
+    if (change == selectedAtChange) {
+      return;
+    }
+    selectedAtChange = change;
+    Set<RouterId> peers = selector.select(self, liveRouters());
+    Map<RouterId, RouterView> routers = store.view().routers();
+    links
+        .entrySet()
+        .removeIf(link -> link.getValue().incarnation != number(routers, link.getKey()));
+    for (RouterId peer : peers) {
+      long incarnation = number(routers, peer);
+      links.computeIfAbsent(peer, key -> new GossipLink(true, incarnation, now)).chosen = true;
+    }
+    for (Map.Entry<RouterId, GossipLink> link : links.entrySet()) {
+      if (!peers.contains(link.getKey())) {
+        link.getValue().chosen = false;
+      }
+    }
+    Instant oldest = now.minus(INBOUND_LINK_RETENTION);
+    links.values().removeIf(link -> !link.chosen && link.heardAt.isBefore(oldest));
+  }
+
+  private List<RouterView> liveRouters() {
+    Collection<RouterView> routers = store.view().routers().values();
+    return routers.stream().filter(router -> router.liveness() != Liveness.DEAD).toList();
+  }
+
+  /** A router that was paused itself must not blame its peers for the silence. */
+  private void forgiveSilenceAfterPause(Instant now) {
+    if (now.isAfter(calledAt.plus(PAUSE_MIN))) {
+      links.values().forEach(link -> link.heardAt = now);
+    }
+    calledAt = now;
+  }
+
+  private void reportSilence(Instant now) {
+    Instant oldest = now.minus(options.silence());
+    for (Map.Entry<RouterId, GossipLink> link : links.entrySet()) {
+      if (link.getValue().chosen && link.getValue().heardAt.isBefore(oldest)) {
+        store.onPeerSilent(link.getKey());
+      }
+    }
+  }
+
+  private GossipLink linkFrom(RouterId from, Instant now) {
+    if (!links.containsKey(from) && links.size() >= INBOUND_LINKS_MAX) {
+      links.values().removeIf(link -> !link.chosen);
+    }
+    long incarnation = number(store.view().routers(), from);
+    return links.computeIfAbsent(from, key -> new GossipLink(false, incarnation, now));
+  }
+
+  private static long number(Map<RouterId, RouterView> routers, RouterId router) {
+    RouterView view = routers.get(router);
+    return view == null ? 0 : view.router().number();
+  }
+
+  private boolean isThoughtDead(RouterId router) {
+    RouterView view = store.view().routers().get(router);
+    return view != null
+        && (view.liveness() == Liveness.DEAD || view.liveness() == Liveness.SUSPECT);
+  }
+
+  private boolean isDue(GossipLink link, Instant now) {
+    if (isUrgent(link)) {
+      return true;
+    }
+    if (now.isBefore(link.sentAt.plus(options.interval()))) {
+      return false;
+    }
+    return !now.isBefore(link.sentAt.plus(options.keepAlive())) || hasPending(link, now);
+  }
+
+  private boolean isUrgent(GossipLink link) {
+    return store.appliedRevision() > link.revisionSent
+        || store.countAfter(EntryClass.LEAVING, link.position(EntryClass.LEAVING)) > 0;
+  }
+
+  private boolean hasPending(GossipLink link, Instant now) {
+    for (EntryClass entryClass : EntryClass.values()) {
+      if (traffic.allows(entryClass, now)
+          && store.countAfter(entryClass, link.position(entryClass)) > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void addUrgent(List<AddressedMessage> out, Instant now) {
+    Set<RouterId> addressed = new HashSet<>();
+    out.forEach(message -> addressed.add(message.to()));
+    for (Map.Entry<RouterId, GossipLink> link : links.entrySet()) {
+      if (link.getValue().chosen && isUrgent(link.getValue()) && addressed.add(link.getKey())) {
+        out.add(compose(link.getKey(), link.getValue(), false, now));
+      }
+    }
+  }
+
+  private AddressedMessage compose(RouterId to, GossipLink link, boolean reply, Instant now) {
+    EntryCollector collector = new EntryCollector(store, options, sizes, traffic);
+    if (!link.introduced) {
+      collector.add(store.ownEntry());
+      link.introduced = true;
+    }
+    if (isThoughtDead(to)) {
+      store.routerEntry(to).ifPresent(collector::add);
+    }
+    collector.collect(to, link, now);
+    GossipMessage message = message(reply, collector.entries());
+    traffic.sent(sizes.ofMessage(message), now);
+    link.sentAt = now;
+    link.revisionSent = message.releaseRevision();
+    return new AddressedMessage(to, message);
+  }
+
+  private GossipMessage message(boolean reply, List<GossipEntry> entries) {
+    return new GossipMessage(reply, store.appliedRevision(), store.digest(), entries);
+  }
+
+  private void compareDigests(GossipLink link, GossipMessage message, Instant now) {
+    boolean comparable =
+        message.releaseRevision() == store.appliedRevision()
+            && store.countAfter(EntryClass.LIVENESS, link.position(EntryClass.LIVENESS)) == 0;
+    if (!comparable || message.digest() == store.digest()) {
+      link.digestMismatches = 0;
+      return;
+    }
+    link.digestMismatches++;
+    if (link.digestMismatches >= DIGEST_MISMATCHES_MAX && !now.isBefore(link.syncAllowedAt)) {
+      link.restart(now.plus(options.syncInterval()));
+    }
+  }
+
+  private Optional<AddressedMessage> probeDeadRouter(Instant now) {
+    if (now.isBefore(probedAt.plus(options.probeInterval()))) {
+      return Optional.empty();
+    }
+    probedAt = now;
+    List<RouterId> dead =
+        store.view().routers().values().stream()
+            .filter(router -> router.liveness() == Liveness.DEAD)
+            .map(router -> router.router().id())
+            .sorted()
+            .toList();
+    if (dead.isEmpty()) {
+      return Optional.empty();
+    }
+    RouterId target = dead.get(random.nextInt(dead.size()));
+    List<GossipEntry> entries = new ArrayList<>(List.of(store.ownEntry()));
+    store.routerEntry(target).ifPresent(entries::add);
+    GossipMessage message = message(false, entries);
+    traffic.sent(sizes.ofMessage(message), now);
+    return Optional.of(new AddressedMessage(target, message));
+  }
+
+  private List<HostPort> unknownSeeds() {
+    Set<HostPort> known = new HashSet<>();
+    for (RouterView router : store.view().routers().values()) {
+      if (router.liveness() != Liveness.DEAD) {
+        known.add(router.peerAddress());
+      }
+    }
+    return seeds.get().stream().filter(seed -> !known.contains(seed)).toList();
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/GossipLink.java
@@ -0,0 +1,51 @@
+package org.coltsfootvale.core.gossip;
+
+import java.time.Instant;
+import java.util.EnumMap;
+import java.util.Map;
+
+/** What a router remembers of its exchange with one peer. Not thread-safe. */
+final class GossipLink {
+
+  private final Map<EntryClass, Long> positions = new EnumMap<>(EntryClass.class);
+
+  /** Whether this router has chosen the peer; otherwise only the peer has chosen this router. */
+  boolean chosen;
+
+  /** The peer's incarnation number when the link was made, 0 if it was unknown. */
+  final long incarnation;
+
+  boolean introduced;
+  long revisionSent;
+  Instant sentAt;
+  Instant heardAt;
+  Instant syncAllowedAt;
+  int digestMismatches;
+
+  /** Creates a link on which nothing has been sent. */
+  GossipLink(boolean chosen, long incarnation, Instant now) {
+    this.incarnation = incarnation;
+    this.chosen = chosen;
+    this.sentAt = Instant.EPOCH;
+    this.heardAt = now;
+    this.syncAllowedAt = now;
+  }
+
+  /** Returns the position up to which changes of a class have been sent. */
+  long position(EntryClass entryClass) {
+    return positions.getOrDefault(entryClass, 0L);
+  }
+
+  /** Moves the position of a class. */
+  void moveTo(EntryClass entryClass, long sequence) {
+    positions.put(entryClass, sequence);
+  }
+
+  /** Makes all liveness entries due again. */
+  void restart(Instant nextSyncAllowedAt) {
+    positions.remove(EntryClass.LEAVING);
+    positions.remove(EntryClass.LIVENESS);
+    digestMismatches = 0;
+    syncAllowedAt = nextSyncAllowedAt;
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/GossipTraffic.java
@@ -0,0 +1,67 @@
+package org.coltsfootvale.core.gossip;
+
+import java.time.Instant;
+
+/** Counts gossip and holds it to its byte budget. Not thread-safe. */
+final class GossipTraffic {
+
+  private final GossipOptions options;
+  private final TokenBucket budget;
+  private long messagesSent;
+  private long messagesReceived;
+  private long bytesSent;
+  private long bytesReceived;
+  private long entriesHeldBack;
+  private long entriesStale;
+
+  /** Creates counters of 0 and a full budget. */
+  GossipTraffic(GossipOptions options, Instant now) {
+    this.options = options;
+    this.budget = new TokenBucket(options.bytesPerSecond(), options.burstBytes(), now);
+  }
+
+  /** Returns the bytes that entries of a class may use now. */
+  double allowance(EntryClass entryClass, Instant now) {
+    double available = budget.available(now);
+    return switch (entryClass) {
+      case LEAVING -> available + options.burstBytes();
+      case LIVENESS -> available;
+      case LOAD -> available - options.loadReserveBytes();
+    };
+  }
+
+  /** Tells whether entries of a class may be sent now. */
+  boolean allows(EntryClass entryClass, Instant now) {
+    return allowance(entryClass, now) > 0;
+  }
+
+  /** Counts and charges a message that is sent. */
+  void sent(int bytes, Instant now) {
+    messagesSent++;
+    bytesSent += bytes;
+    budget.charge(bytes, now);
+  }
+
+  /** Counts and charges a message that was received. */
+  void received(int bytes, Instant now) {
+    messagesReceived++;
+    bytesReceived += bytes;
+    budget.charge(bytes, now);
+  }
+
+  /** Counts a received entry that was older than the known one. */
+  void stale() {
+    entriesStale++;
+  }
+
+  /** Counts entries that wait for budget. */
+  void heldBack(int entries) {
+    entriesHeldBack += entries;
+  }
+
+  /** Returns the counters. */
+  GossipCounters counters() {
+    return new GossipCounters(
+        messagesSent, messagesReceived, bytesSent, bytesReceived, entriesHeldBack, entriesStale);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/PeerSelector.java
@@ -0,0 +1,19 @@
+package org.coltsfootvale.core.gossip;
+
+import java.util.Collection;
+import java.util.Set;
+import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.model.RouterView;
+
+/** Chooses the routers that a router keeps gossip links to. */
+@FunctionalInterface
+public interface PeerSelector {
+
+  /**
+   * Returns the peers of a router.
+   *
+   * @param self the router
+   * @param routers the routers that are not dead, {@code self} among them
+   */
+  Set<RouterId> select(RouterId self, Collection<RouterView> routers);
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/DefaultMembership.java
@@ -0,0 +1,299 @@
+package org.coltsfootvale.core.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.coltsfootvale.core.gossip.EntryClass;
+import org.coltsfootvale.core.gossip.EntryStore;
+import org.coltsfootvale.core.gossip.GossipEntry;
+import org.coltsfootvale.core.gossip.GossipEntry.EngineEntry;
+import org.coltsfootvale.core.gossip.GossipEntry.RouterEntry;
+import org.coltsfootvale.core.model.DataCentreId;
+import org.coltsfootvale.core.model.EngineId;
+import org.coltsfootvale.core.model.EngineLoad;
+import org.coltsfootvale.core.model.FleetView;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.release.FleetState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Membership by incarnations: suspected routers refute, leaving wins over live and stays, engines
+ * are observed by a few routers each. Also the store of the entries that gossip spreads.
+ */
+public final class DefaultMembership implements Membership, EntryStore {
+
+  private static final Duration PAUSE_MIN = Duration.ofSeconds(1);
+
+  private final Object lock = new Object();
+  private final MembershipContext context;
+  private final RouterTable routers;
+  private final EngineTable engines;
+  private List<EngineId> observed = List.of();
+  private long observedAtChange = -1;
+  private boolean enginesChanged = true;
+  private long fleetRevision = -1;
+  private Instant hostListAsOf = Instant.EPOCH;
+  private Instant avoidanceEndsAt = Instant.MAX;
+  private Instant tickedAt;
+  private volatile FleetView view = FleetView.empty();
+  private long viewVersion = -1;
+
+  /**
+   * Creates a membership that knows this router alone.
+   *
+   * @param self this run of this router
+   * @param dataCentre its data centre
+   * @param callerAddress where callers connect to it
+   * @param peerAddress where peers connect to it
+   * @param options timeouts and bounds
+   * @param clock the time
+   */
+  public DefaultMembership(
+      RouterIncarnation self,
+      DataCentreId dataCentre,
+      HostPort callerAddress,
+      HostPort peerAddress,
+      MembershipOptions options,
+      InstantSource clock) {
+    context = new MembershipContext(options, clock);
+    Instant now = clock.instant();
+    routers =
+        new RouterTable(
+            context, new RouterRecord(self, dataCentre, callerAddress, peerAddress, now));
+    engines = new EngineTable(context);
+    tickedAt = now;
+  }
+
+  @Override
+  public FleetView view() {
+    synchronized (lock) {
+      if (viewVersion != context.version()) {
+        viewVersion = context.version();
+        view = new FleetView(viewVersion, engines.views(), routers.views());
+      }
+      return view;
+    }
+  }
+
+  @Override
+  public void onFleetState(FleetState state) {
+    synchronized (lock) {
+      if (state.revision() < fleetRevision) {
+        return;
+      }
+      fleetRevision = state.revision();
+      enginesChanged |= engines.onFleetState(state.engines());
+    }
+  }
+
+  @Override
+  public void onHostList(Collection<ListedHost> hosts, Instant asOf) {
+    synchronized (lock) {
+      if (asOf.isBefore(hostListAsOf)) {
+        return;
+      }
+      hostListAsOf = asOf;
+      routers.onHostList(hosts, asOf);
+      engines.onHostList(hosts);
+    }
+  }
+
+  @Override
+  public List<EngineId> observedEngines() {
+    synchronized (lock) {
+      refreshObserved();
+      return observed;
+    }
+  }
+
+  @Override
+  public void onEngineReport(EngineId engine, long incarnation, boolean leaving, EngineLoad load) {
+    synchronized (lock) {
+      engines.onReport(engine, incarnation, leaving, load);
+    }
+  }
+
+  @Override
+  public void onEngineSilent(EngineId engine) {
+    synchronized (lock) {
+      refreshObserved();
+      engines.onSilent(engine);
+      Instant endsAt = context.now().plus(context.options.localSuspicion());
+      avoidanceEndsAt = endsAt.isBefore(avoidanceEndsAt) ? endsAt : avoidanceEndsAt;
+    }
+  }
+
+  @Override
+  public void onEngineLeaving(EngineId engine) {
+    synchronized (lock) {
+      engines.onLeaving(engine);
+    }
+  }
+
+  @Override
+  public void onWeights(Map<EngineId, Double> weights) {
+    synchronized (lock) {
+      engines.onWeights(weights);
+    }
+  }
+
+  @Override
+  public void onPeerAlive(RouterIncarnation peer) {
+    synchronized (lock) {
+      routers.onAlive(peer);
+    }
+  }
+
+  @Override
+  public void onPeerSilent(RouterId peer) {
+    synchronized (lock) {
+      routers.onSilent(peer);
+    }
+  }
+
+  @Override
+  public void leave() {
+    synchronized (lock) {
+      routers.leave();
+    }
+  }
+
+  @Override
+  public void onAppliedRevision(long revision) {
+    synchronized (lock) {
+      routers.onAppliedRevision(revision);
+    }
+  }
+
+  @Override
+  public void onOwnLoad(int load) {
+    synchronized (lock) {
+      routers.onOwnLoad(load);
+    }
+  }
+
+  @Override
+  public void tick() {
+    synchronized (lock) {
+      Instant now = context.now();
+      if (now.isAfter(tickedAt.plus(PAUSE_MIN))) {
+        routers.restartSuspicions();
+      }
+      tickedAt = now;
+      refreshObserved();
+      routers.tick();
+      engines.tick();
+      if (!now.isBefore(avoidanceEndsAt)) {
+        avoidanceEndsAt = engines.nextAvoidanceEnd();
+        context.viewChanged();
+      }
+    }
+  }
+
+  @Override
+  public long appliedRevision() {
+    synchronized (lock) {
+      return routers.self().appliedRevision;
+    }
+  }
+
+  @Override
+  public long digest() {
+    synchronized (lock) {
+      return context.digest();
+    }
+  }
+
+  @Override
+  public long routerChanges() {
+    synchronized (lock) {
+      return context.routerChanges();
+    }
+  }
+
+  @Override
+  public MergeResult merge(RouterId from, GossipEntry entry) {
+    synchronized (lock) {
+      if (entry instanceof RouterEntry router) {
+        return routers.merge(from, router);
+      }
+      refreshObserved();
+      return engines.merge(from, (EngineEntry) entry);
+    }
+  }
+
+  @Override
+  public List<Change> changesAfter(EntryClass entryClass, long sequence, int limit) {
+    synchronized (lock) {
+      List<Change> result = new ArrayList<>();
+      for (Map.Entry<Long, Subject> change : context.changes.after(entryClass, sequence, limit)) {
+        Change described = describe(entryClass, change.getKey(), change.getValue());
+        if (described != null) {
+          result.add(described);
+        }
+      }
+      return result;
+    }
+  }
+
+  @Override
+  public int countAfter(EntryClass entryClass, long sequence) {
+    synchronized (lock) {
+      return context.changes.countAfter(entryClass, sequence);
+    }
+  }
+
+  @Override
+  public RouterEntry ownEntry() {
+    synchronized (lock) {
+      return routers.self().wholeEntry();
+    }
+  }
+
+  @Override
+  public Optional<RouterEntry> routerEntry(RouterId router) {
+    synchronized (lock) {
+      return Optional.ofNullable(routers.find(router)).map(RouterRecord::wholeEntry);
+    }
+  }
+
+  private @Nullable Change describe(EntryClass entryClass, long sequence, Subject subject) {
+    if (subject instanceof Subject.Router router) {
+      RouterRecord record = routers.find(router.id());
+      if (record == null) {
+        return null;
+      }
+      boolean whole = entryClass != EntryClass.LOAD;
+      RouterEntry entry = whole ? record.wholeEntry() : record.shortEntry();
+      return new Change(sequence, record.learntFrom, entry);
+    }
+    EngineRecord record = engines.find(((Subject.Engine) subject).id());
+    if (record == null) {
+      return null;
+    }
+    return new Change(sequence, record.learntFrom, record.entry(context.now()));
+  }
+
+  private void refreshObserved() {
+    if (!enginesChanged && observedAtChange == context.routerChanges()) {
+      return;
+    }
+    enginesChanged = false;
+    observedAtChange = context.routerChanges();
+    observed =
+        List.copyOf(
+            ObserverAssignment.observedBy(
+                routers.self().router.id(),
+                routers.observers(),
+                engines.records(),
+                context.options.observersPerEngine()));
+    engines.setObserved(observed);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/EngineTable.java
@@ -0,0 +1,358 @@
+package org.coltsfootvale.core.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.coltsfootvale.core.gossip.EntryClass;
+import org.coltsfootvale.core.gossip.EntryStore.MergeResult;
+import org.coltsfootvale.core.gossip.GossipEntry.EngineEntry;
+import org.coltsfootvale.core.membership.Membership.ListedHost;
+import org.coltsfootvale.core.model.EngineId;
+import org.coltsfootvale.core.model.EngineLoad;
+import org.coltsfootvale.core.model.EngineView;
+import org.coltsfootvale.core.model.Liveness;
+import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.release.EngineSpec;
+import org.jspecify.annotations.Nullable;
+
+/** The engines as one router sees them. Guarded by the lock of its owner. */
+final class EngineTable {
+
+  private static final Duration SUSPICION_BACKOFF = Duration.ofSeconds(10);
+  private static final Duration OWN_ANSWER_FRESH = Duration.ofSeconds(2);
+
+  private final MembershipContext context;
+  private final Map<EngineId, EngineRecord> records = new HashMap<>();
+  private final Set<EngineId> listedLeaving = new HashSet<>();
+  private Map<EngineId, Double> weights = Map.of();
+  private Set<EngineId> observed = Set.of();
+
+  /** Creates an empty table. */
+  EngineTable(MembershipContext context) {
+    this.context = context;
+  }
+
+  /** Takes the engines that this router observes. */
+  void setObserved(Collection<EngineId> engines) {
+    observed = Set.copyOf(engines);
+  }
+
+  /** Returns all records. */
+  Collection<EngineRecord> records() {
+    return records.values();
+  }
+
+  /** Returns the record of an engine, or null. */
+  @Nullable EngineRecord find(EngineId id) {
+    return records.get(id);
+  }
+
+  /** Returns all views by id. */
+  Map<EngineId, EngineView> views() {
+    Instant now = context.now();
+    Map<EngineId, EngineView> views = new HashMap<>();
+    records.forEach((id, record) -> views.put(id, record.view(now)));
+    return views;
+  }
+
+  /** Adds and withdraws engines; returns whether the set or a data centre has changed. */
+  boolean onFleetState(Map<EngineId, EngineSpec> specs) {
+    boolean changed = records.keySet().retainAll(Set.copyOf(specs.keySet()));
+    if (changed) {
+      forgetWithdrawn(specs.keySet());
+    }
+    for (EngineSpec spec : specs.values()) {
+      EngineRecord record = records.get(spec.id());
+      if (record == null) {
+        addRecord(spec);
+        changed = true;
+      } else if (!record.dataCentre.equals(spec.dataCentre())) {
+        record.dataCentre = spec.dataCentre();
+        changed = true;
+      }
+    }
+    return changed;
+  }
+
+  /** Takes the engines of the platform's host list. */
+  void onHostList(Collection<ListedHost> hosts) {
+    for (ListedHost host : hosts) {
+      if (host.kind() == ListedHost.Kind.ENGINE) {
+        setListedLeaving(new EngineId(host.id()), host.leaving());
+      }
+    }
+  }
+
+  /** Takes a load report that this router has read itself. */
+  void onReport(EngineId id, long incarnation, boolean leaving, EngineLoad load) {
+    EngineRecord record = records.get(id);
+    if (record == null || incarnation < record.incarnation) {
+      return;
+    }
+    Liveness before = record.liveness();
+    boolean restarted = incarnation > record.incarnation;
+    if (restarted) {
+      startIncarnation(record, incarnation);
+    }
+    record.leaving |= leaving;
+    takeAnswer(record, load);
+    if (restarted || record.liveness() != before) {
+      publish(record);
+    } else if (isWorthSending(record, load)) {
+      observe(record, EntryClass.LOAD);
+    } else {
+      context.viewChanged();
+    }
+  }
+
+  /** Records that an engine did not answer this router. */
+  void onSilent(EngineId id) {
+    EngineRecord record = records.get(id);
+    if (record == null) {
+      return;
+    }
+    Instant now = context.now();
+    record.silences++;
+    record.damper.onSilent();
+    record.avoidedUntil = now.plus(context.options.localSuspicion());
+    context.viewChanged();
+    boolean suspected =
+        observed.contains(id)
+            && record.answered == Liveness.LIVE
+            && record.silences >= context.options.engineSilencesMax()
+            && !now.isBefore(record.suspicionAllowedAt);
+    if (suspected) {
+      record.answered = Liveness.SUSPECT;
+      record.suspectedAt = now;
+      publish(record);
+    }
+  }
+
+  /** Records that an engine has called itself leaving. */
+  void onLeaving(EngineId id) {
+    EngineRecord record = records.get(id);
+    if (record != null && !record.leaving) {
+      record.leaving = true;
+      publish(record);
+    }
+  }
+
+  /** Takes placement weights; engines without one have weight 1. */
+  void onWeights(Map<EngineId, Double> newWeights) {
+    weights = Map.copyOf(newWeights);
+    for (EngineRecord record : records.values()) {
+      record.weight = weightOf(record.id);
+    }
+    context.viewChanged();
+  }
+
+  /** Takes an entry that a peer has sent. */
+  MergeResult merge(RouterId from, EngineEntry entry) {
+    EngineRecord record = records.get(entry.engine());
+    if (record == null) {
+      return MergeResult.IGNORED;
+    }
+    if (entry.incarnation() < record.incarnation) {
+      return MergeResult.STALE;
+    }
+    if (entry.incarnation() > record.incarnation) {
+      startIncarnation(record, entry.incarnation());
+      record.leaving = entry.liveness() == Liveness.LEAVING;
+      adopt(from, record, entry);
+      livenessChanged(record);
+      return MergeResult.KEPT;
+    }
+    return update(from, record, entry);
+  }
+
+  /** Declares observed engines dead that stay silent. */
+  void tick() {
+    Instant suspectedBefore = context.now().minus(context.options.engineDeadTimeout());
+    for (EngineId id : observed) {
+      EngineRecord record = records.get(id);
+      if (record != null && isSilentSince(record, suspectedBefore)) {
+        record.answered = Liveness.DEAD;
+        publish(record);
+      }
+    }
+  }
+
+  private static boolean isSilentSince(EngineRecord record, Instant suspectedBefore) {
+    return record.version > 0
+        && record.answered == Liveness.SUSPECT
+        && record.silences > 0
+        && !record.suspectedAt.isAfter(suspectedBefore);
+  }
+
+  /** Returns the earliest time at which a local avoidance ends, or the maximum. */
+  Instant nextAvoidanceEnd() {
+    Instant now = context.now();
+    return records.values().stream()
+        .map(record -> record.avoidedUntil)
+        .filter(end -> end.isAfter(now))
+        .min(Comparator.naturalOrder())
+        .orElse(Instant.MAX);
+  }
+
+  private void addRecord(EngineSpec spec) {
+    EngineRecord record = new EngineRecord(spec.id(), spec.dataCentre(), context.options);
+    record.weight = weightOf(spec.id());
+    record.listedLeaving = listedLeaving.contains(spec.id());
+    records.put(spec.id(), record);
+    context.viewChanged();
+  }
+
+  private void forgetWithdrawn(Set<EngineId> kept) {
+    for (Subject.Engine subject : context.engineSubjects()) {
+      if (!kept.contains(subject.id())) {
+        context.forget(subject);
+      }
+    }
+    context.viewChanged();
+  }
+
+  private double weightOf(EngineId id) {
+    Double weight = weights.get(id);
+    return weight == null ? 1.0 : weight;
+  }
+
+  private void setListedLeaving(EngineId id, boolean leaving) {
+    if (leaving) {
+      listedLeaving.add(id);
+    } else {
+      listedLeaving.remove(id);
+    }
+    EngineRecord record = records.get(id);
+    if (record == null || record.listedLeaving == leaving) {
+      return;
+    }
+    record.listedLeaving = leaving;
+    record.leaving |= leaving;
+    if (leaving) {
+      publish(record);
+    } else {
+      livenessChanged(record);
+    }
+  }
+
+  private void startIncarnation(EngineRecord record, long incarnation) {
+    record.incarnation = incarnation;
+    record.leaving = record.listedLeaving;
+    record.load = null;
+    record.publishedLoad = null;
+    record.liveSince = null;
+    record.answered = Liveness.SUSPECT;
+  }
+
+  private void takeAnswer(EngineRecord record, EngineLoad load) {
+    Instant now = context.now();
+    record.load = load;
+    record.answeredAt = now;
+    record.silences = 0;
+    record.avoidedUntil = Instant.EPOCH;
+    if (record.answered != Liveness.LIVE && record.damper.onAnswer(now)) {
+      record.answered = Liveness.LIVE;
+      record.liveSince = now;
+    }
+  }
+
+  private boolean isWorthSending(EngineRecord record, EngineLoad load) {
+    EngineLoad published = record.publishedLoad;
+    Instant refreshAt = record.publishedAt.plus(context.options.loadRefresh());
+    return published == null
+        || !context.now().isBefore(refreshAt)
+        || LoadQuantiser.differs(published, load, context.options.loadChange());
+  }
+
+  private MergeResult update(RouterId from, EngineRecord record, EngineEntry entry) {
+    boolean leavingNow = entry.liveness() == Liveness.LEAVING && !record.leaving;
+    boolean newer = entry.version() > record.version;
+    boolean severer =
+        entry.version() == record.version && entry.liveness().compareTo(record.liveness()) > 0;
+    if (!newer && !severer && !leavingNow) {
+      return entry.version() < record.version ? MergeResult.STALE : MergeResult.KNOWN;
+    }
+    Liveness before = record.liveness();
+    record.leaving |= leavingNow;
+    if (newer || severer) {
+      adopt(from, record, entry);
+    }
+    if (isContradicted(record)) {
+      record.answered = Liveness.LIVE;
+      publish(record);
+    } else if (record.liveness() != before || entry.liveness() != record.liveness()) {
+      livenessChanged(record);
+    } else {
+      context.changed(subject(record), EntryClass.LOAD);
+    }
+    return MergeResult.KEPT;
+  }
+
+  /** Tells whether a peer's suspicion is contradicted by a fresh answer to this router. */
+  private boolean isContradicted(EngineRecord record) {
+    Instant freshSince = context.now().minus(OWN_ANSWER_FRESH);
+    return record.answered != Liveness.LIVE
+        && record.liveSince != null
+        && observed.contains(record.id)
+        && record.answeredAt.isAfter(freshSince);
+  }
+
+  private void adopt(RouterId from, EngineRecord record, EngineEntry entry) {
+    Instant now = context.now();
+    Liveness answered = entry.liveness() == Liveness.LEAVING ? Liveness.LIVE : entry.liveness();
+    if (answered == Liveness.LIVE && record.answered != Liveness.LIVE) {
+      record.liveSince = now;
+      record.suspicionAllowedAt = now.plus(SUSPICION_BACKOFF);
+    }
+    if (answered == Liveness.SUSPECT && record.answered != Liveness.SUSPECT) {
+      record.suspectedAt = now;
+    }
+    record.answered = answered;
+    record.version = entry.version();
+    record.learntFrom = from;
+    adoptLoad(record, entry, now.minusMillis(entry.ageMillis()));
+  }
+
+  private static void adoptLoad(EngineRecord record, EngineEntry entry, Instant reportedAt) {
+    EngineLoad known = record.load;
+    if (known == null || reportedAt.isAfter(known.reportedAt())) {
+      EngineLoad load =
+          new EngineLoad(
+              entry.outstandingRequests(), entry.queuedTokens(), entry.runningTokens(), reportedAt);
+      record.load = load;
+      record.publishedLoad = load;
+    }
+  }
+
+  /** Publishes a state that this router has found out itself. */
+  private void publish(EngineRecord record) {
+    observe(record, EntryClass.LIVENESS);
+    livenessChanged(record);
+  }
+
+  private void observe(EngineRecord record, EntryClass entryClass) {
+    Instant now = context.now();
+    record.version = Math.max(record.version + 1, now.toEpochMilli());
+    record.learntFrom = null;
+    record.publishedLoad = record.load;
+    record.publishedAt = now;
+    context.changed(subject(record), entryClass);
+  }
+
+  private void livenessChanged(EngineRecord record) {
+    if (record.version > 0) {
+      context.livenessChanged(subject(record), record.incarnation, record.liveness());
+    } else {
+      context.viewChanged();
+    }
+  }
+
+  private static Subject.Engine subject(EngineRecord record) {
+    return new Subject.Engine(record.id);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/LoadQuantiser.java
@@ -0,0 +1,39 @@
+package org.coltsfootvale.core.membership;
+
+import org.coltsfootvale.core.model.EngineLoad;
+
+/** Rounds load figures so that they encode short, and judges whether a change is worth sending. */
+final class LoadQuantiser {
+
+  private static final int EXACT_MAX = 16;
+  private static final int MANTISSA_BITS = 4;
+
+  private LoadQuantiser() {}
+
+  /** Rounds to four significant bits; small numbers stay exact. */
+  static int quantise(int value) {
+    return Math.toIntExact(Math.min(Integer.MAX_VALUE, quantise((long) value)));
+  }
+
+  /** Rounds to four significant bits; small numbers stay exact. */
+  static long quantise(long value) {
+    if (value < EXACT_MAX) {
+      return Math.max(0, value);
+    }
+    int shift = Long.SIZE - Long.numberOfLeadingZeros(value) - MANTISSA_BITS;
+    long half = 1L << (shift - 1);
+    return ((value + half) >> shift) << shift;
+  }
+
+  /** Tells whether a load differs from the published one by more than a relative change. */
+  static boolean differs(EngineLoad published, EngineLoad load, double relativeChange) {
+    return differs(published.outstandingRequests(), load.outstandingRequests(), relativeChange, 1)
+        || differs(published.queuedTokens(), load.queuedTokens(), relativeChange, 512)
+        || differs(published.runningTokens(), load.runningTokens(), relativeChange, 512);
+  }
+
+  private static boolean differs(long before, long after, double relativeChange, long floor) {
+    double change = Math.abs(after - before);
+    return change > Math.max(floor, relativeChange * Math.max(before, after));
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/RouterTable.java
@@ -0,0 +1,294 @@
+package org.coltsfootvale.core.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.coltsfootvale.core.gossip.EntryClass;
+import org.coltsfootvale.core.gossip.EntryStore.MergeResult;
+import org.coltsfootvale.core.gossip.GossipEntry.RouterEntry;
+import org.coltsfootvale.core.membership.Membership.ListedHost;
+import org.coltsfootvale.core.model.DataCentreId;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.model.Liveness;
+import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.model.RouterView;
+import org.jspecify.annotations.Nullable;
+
+/** The routers as one of them sees them. Guarded by the lock of its owner. */
+final class RouterTable {
+
+  private static final Duration SUSPICION_BACKOFF_MIN = Duration.ofSeconds(2);
+  private static final int SUSPICION_BACKOFF_DOUBLINGS_MAX = 5;
+
+  private final MembershipContext context;
+  private final RouterRecord self;
+  private final Map<RouterId, RouterRecord> records = new HashMap<>();
+
+  /** Creates a table that knows this router alone. */
+  RouterTable(MembershipContext context, RouterRecord self) {
+    this.context = context;
+    this.self = self;
+    self.version = 1;
+    records.put(self.router.id(), self);
+    publish(self);
+  }
+
+  /** Returns this router's own record. */
+  RouterRecord self() {
+    return self;
+  }
+
+  /** Returns the record of a router, or null. */
+  @Nullable RouterRecord find(RouterId id) {
+    return records.get(id);
+  }
+
+  /** Returns all views by id. */
+  Map<RouterId, RouterView> views() {
+    Map<RouterId, RouterView> views = new HashMap<>();
+    records.forEach((id, record) -> views.put(id, record.view()));
+    return views;
+  }
+
+  /** Returns the routers that can observe engines. */
+  List<RouterView> observers() {
+    return records.values().stream()
+        .filter(record -> record.liveness() == Liveness.LIVE)
+        .map(RouterRecord::view)
+        .toList();
+  }
+
+  /** Takes an entry that a peer has sent. */
+  MergeResult merge(RouterId from, RouterEntry entry) {
+    if (entry.router().id().equals(self.router.id())) {
+      return mergeOwn(entry);
+    }
+    RouterRecord record = records.get(entry.router().id());
+    if (record == null || record.router.number() < entry.router().number()) {
+      return add(from, record, entry);
+    }
+    if (record.router.number() > entry.router().number()) {
+      return MergeResult.STALE;
+    }
+    return update(from, record, entry);
+  }
+
+  /** Takes the routers of the platform's host list. */
+  void onHostList(Collection<ListedHost> hosts, Instant asOf) {
+    for (ListedHost host : hosts) {
+      if (host.kind() != ListedHost.Kind.ROUTER || !host.leaving()) {
+        continue;
+      }
+      RouterRecord record = records.get(new RouterId(host.id()));
+      if (record != null && record.router.number() <= asOf.toEpochMilli()) {
+        markLeaving(record);
+      }
+    }
+  }
+
+  /** Records that a peer has been heard directly. */
+  void onAlive(RouterIncarnation peer) {
+    RouterRecord record = records.get(peer.id());
+    if (record == null) {
+      return;
+    }
+    if (record.router.number() < peer.number()) {
+      setAnswered(record, Liveness.DEAD);
+      return;
+    }
+    record.refutations = 0;
+    record.suspicionAllowedAt = Instant.EPOCH;
+  }
+
+  /** Suspects a peer, unless it has refuted a suspicion of this router a short time ago. */
+  void onSilent(RouterId peer) {
+    RouterRecord record = records.get(peer);
+    if (record == null || record == self || record.answered != Liveness.LIVE) {
+      return;
+    }
+    if (!context.now().isBefore(record.suspicionAllowedAt)) {
+      setAnswered(record, Liveness.SUSPECT);
+    }
+  }
+
+  /** Marks this router as leaving. */
+  void leave() {
+    markLeaving(self);
+  }
+
+  /** Takes the applied revision of this router. */
+  void onAppliedRevision(long revision) {
+    if (revision > self.appliedRevision) {
+      self.appliedRevision = revision;
+      self.version++;
+      context.changed(subject(self), EntryClass.LOAD);
+    }
+  }
+
+  /** Takes the load of this router. */
+  void onOwnLoad(int load) {
+    Integer known = self.load;
+    if (known == null || Math.abs(known - load) >= context.options.ownLoadChange()) {
+      self.load = load;
+      self.version++;
+      context.changed(subject(self), EntryClass.LOAD);
+    }
+  }
+
+  /** Declares routers dead that have not refuted, and forgets those that are dead for long. */
+  void tick() {
+    Instant now = context.now();
+    Instant suspectedBefore = now.minus(context.options.suspicionTimeout());
+    Instant deadBefore = now.minus(context.options.deadRetention());
+    for (RouterRecord record : List.copyOf(records.values())) {
+      if (record.answered == Liveness.SUSPECT && !record.changedAt.isAfter(suspectedBefore)) {
+        setAnswered(record, Liveness.DEAD);
+      } else if (record.answered == Liveness.DEAD && record.changedAt.isBefore(deadBefore)) {
+        records.remove(record.router.id());
+        context.forget(subject(record));
+      }
+    }
+  }
+
+  /** Restarts the suspicion timeouts, because this process itself has been paused. */
+  void restartSuspicions() {
+    for (RouterRecord record : records.values()) {
+      if (record.answered == Liveness.SUSPECT) {
+        record.changedAt = context.now();
+      }
+    }
+  }
+
+  private MergeResult mergeOwn(RouterEntry entry) {
+    if (entry.router().number() < self.router.number()) {
+      return MergeResult.STALE;
+    }
+    if (entry.router().number() > self.router.number() || entry.liveness() == Liveness.LEAVING) {
+      markLeaving(self);
+      return MergeResult.KEPT;
+    }
+    boolean refutable =
+        entry.version() >= self.version
+            && (entry.liveness() == Liveness.SUSPECT || entry.liveness() == Liveness.DEAD);
+    if (!refutable) {
+      return MergeResult.KNOWN;
+    }
+    self.version = entry.version() + 1;
+    publish(self);
+    return MergeResult.KEPT;
+  }
+
+  private MergeResult add(RouterId from, @Nullable RouterRecord previous, RouterEntry entry) {
+    DataCentreId dataCentre = entry.dataCentre();
+    HostPort callerAddress = entry.callerAddress();
+    HostPort peerAddress = entry.peerAddress();
+    if (dataCentre == null || callerAddress == null || peerAddress == null) {
+      return MergeResult.IGNORED;
+    }
+    boolean room = previous != null || records.size() < context.options.routersMax();
+    if (!room || (previous == null && entry.liveness() == Liveness.DEAD)) {
+      return MergeResult.IGNORED;
+    }
+    RouterRecord record =
+        new RouterRecord(entry.router(), dataCentre, callerAddress, peerAddress, context.now());
+    retireOthersAt(record);
+    records.put(record.router.id(), record);
+    adopt(from, record, entry);
+    record.leaving = entry.liveness() == Liveness.LEAVING;
+    publish(record);
+    return MergeResult.KEPT;
+  }
+
+  /** Declares older routers with the same peer address dead; a replaced host reuses addresses. */
+  private void retireOthersAt(RouterRecord added) {
+    for (RouterRecord record : records.values()) {
+      boolean replaced =
+          record != self
+              && record.peerAddress.equals(added.peerAddress)
+              && !record.router.id().equals(added.router.id())
+              && record.router.number() < added.router.number();
+      if (replaced && record.answered != Liveness.DEAD) {
+        setAnswered(record, Liveness.DEAD);
+      }
+    }
+  }
+
+  private MergeResult update(RouterId from, RouterRecord record, RouterEntry entry) {
+    boolean leavingNow = entry.liveness() == Liveness.LEAVING && !record.leaving;
+    boolean newer = entry.version() > record.version;
+    boolean severer =
+        entry.version() == record.version && entry.liveness().compareTo(record.liveness()) > 0;
+    if (!newer && !severer && !leavingNow) {
+      return entry.version() < record.version ? MergeResult.STALE : MergeResult.KNOWN;
+    }
+    Liveness before = record.liveness();
+    Liveness answeredBefore = record.answered;
+    record.leaving |= leavingNow;
+    if (newer || severer) {
+      adopt(from, record, entry);
+    }
+    boolean cleared = answeredBefore != Liveness.LIVE && record.answered == Liveness.LIVE;
+    if (cleared) {
+      delayNextSuspicion(record);
+    }
+    if (record.liveness() != before || cleared || entry.dataCentre() != null) {
+      publish(record);
+    } else {
+      context.changed(subject(record), EntryClass.LOAD);
+    }
+    return MergeResult.KEPT;
+  }
+
+  private void adopt(RouterId from, RouterRecord record, RouterEntry entry) {
+    Liveness answered = entry.liveness() == Liveness.LEAVING ? Liveness.LIVE : entry.liveness();
+    if (answered != record.answered) {
+      record.answered = answered;
+      record.changedAt = context.now();
+    }
+    record.version = entry.version();
+    record.load = entry.load();
+    record.appliedRevision = Math.max(record.appliedRevision, entry.appliedRevision());
+    record.learntFrom = from;
+  }
+
+  private void delayNextSuspicion(RouterRecord record) {
+    int doublings = Math.min(record.refutations, SUSPICION_BACKOFF_DOUBLINGS_MAX);
+    record.refutations++;
+    Duration backoff = SUSPICION_BACKOFF_MIN.multipliedBy(1L << doublings);
+    record.suspicionAllowedAt = context.now().plus(backoff);
+  }
+
+  private void markLeaving(RouterRecord record) {
+    if (record.leaving) {
+      return;
+    }
+    record.leaving = true;
+    record.learntFrom = null;
+    if (record == self) {
+      self.version++;
+    }
+    publish(record);
+  }
+
+  private void setAnswered(RouterRecord record, Liveness answered) {
+    if (record.answered == answered) {
+      return;
+    }
+    record.answered = answered;
+    record.changedAt = context.now();
+    record.learntFrom = null;
+    publish(record);
+  }
+
+  private void publish(RouterRecord record) {
+    context.routerChanged(subject(record), record.router.number(), record.liveness());
+  }
+
+  private static Subject.Router subject(RouterRecord record) {
+    return new Subject.Router(record.router.id());
+  }
+}
