Serve chats and plain services from callers to backend servers

Cause: the router had no data path. Change: the callers' routes, authentication, one request's course with admission, placement, retries and resumes, the engines' and services' clients, keyed requests, forwarding to a key's home, and a drain. Ruled out: leaving repeats to the client library. It sends a request again on 503 with Retry-After 0, also when its own retries are off; the header is hidden from it, and a test counts the runs. Ruled out: one timer for each read. A watchdog looks at all open calls, so that a chunk costs no timer. Shown by tests in the caller package, all of which passed; forwarding compiles and has no test yet.

--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/AttemptFailedException.java
@@ -0,0 +1,63 @@
+package org.coltsfootvale.router.backend;
+
+import java.time.Duration;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.error.Outcome;
+import org.coltsfootvale.core.retry.AttemptFailure;
+import org.coltsfootvale.core.retry.AttemptFailure.Stage;
+import org.jspecify.annotations.Nullable;
+
+/** Reports that one attempt at a backend server has failed and how far it had come. */
+public final class AttemptFailedException extends ColtsfootvaleException {
+
+  private static final long serialVersionUID = 1L;
+
+  private final transient AttemptFailure failure;
+  private final boolean leaving;
+
+  /** Creates a failure without advice of the backend server. */
+  public AttemptFailedException(
+      Stage stage, ErrorKind kind, String detail, @Nullable Throwable cause) {
+    this(new AttemptFailure(stage, kind, detail, null), false, cause);
+  }
+
+  /**
+   * Creates a failure.
+   *
+   * @param failure what is known of the attempt
+   * @param leaving whether the backend server said that it is leaving
+   * @param cause the underlying failure, or null
+   */
+  public AttemptFailedException(
+      AttemptFailure failure, boolean leaving, @Nullable Throwable cause) {
+    super(failure.kind(), outcome(failure.stage()), failure.detail(), failure.retryAfter(), cause);
+    this.failure = failure;
+    this.leaving = leaving;
+  }
+
+  /** Creates a refusal in which the backend server said that it did not run the request. */
+  public static AttemptFailedException refused(
+      String detail, @Nullable Duration retryAfter, boolean leaving) {
+    AttemptFailure failure =
+        new AttemptFailure(Stage.REFUSED, ErrorKind.OVERLOADED, detail, retryAfter);
+    return new AttemptFailedException(failure, leaving, null);
+  }
+
+  private static Outcome outcome(Stage stage) {
+    return switch (stage) {
+      case NOT_SENT, REFUSED -> Outcome.NOT_RUN;
+      case SENT, PARTIAL -> Outcome.UNKNOWN;
+    };
+  }
+
+  /** Returns what is known of the attempt. */
+  public AttemptFailure failure() {
+    return failure;
+  }
+
+  /** Tells whether the backend server said that it is leaving. */
+  public boolean leaving() {
+    return leaving;
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
@@ -0,0 +1,225 @@
+package org.coltsfootvale.router.backend;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okhttp3.sse.EventSources;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.retry.AttemptFailure.Stage;
+import org.jspecify.annotations.Nullable;
+
+/** The engines' HTTP interface over OkHttp. */
+public final class OkHttpEngineClient implements EngineClient {
+
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final int CANCELS_IN_PROGRESS_MAX = 256;
+  private static final int REFUSAL_BYTES_MAX = 8_192;
+
+  private final BackendClients clients;
+  private final BackendSettings settings;
+  private final CallWatchdog watchdog;
+  private final BackendMetrics metrics;
+  private final InstantSource clock;
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final ObjectReader chunkReader = mapper.readerFor(EngineChunk.class);
+
+  /** Creates the client; the watchdog must be started by its owner. */
+  public OkHttpEngineClient(
+      BackendClients clients,
+      BackendSettings settings,
+      CallWatchdog watchdog,
+      BackendMetrics metrics,
+      InstantSource clock) {
+    this.clients = clients;
+    this.settings = settings;
+    this.watchdog = watchdog;
+    this.metrics = metrics;
+    this.clock = clock;
+  }
+
+  @Override
+  public void run(EngineRequest request, SendGate gate, ChunkConsumer consumer) {
+    OkHttpClient client = request.freshConnection() ? clients.fresh() : clients.pooled();
+    Call call = client.newCall(httpRequest(request, gate));
+    try (CallWatchdog.Watch watch =
+        watchdog.watch(call::cancel, request.deadline(), settings.firstTokenTimeoutMillis())) {
+      try (Response response = call.execute()) {
+        read(request, response, watch, consumer);
+      } catch (IOException e) {
+        throw failure(request, gate, watch, e);
+      }
+    }
+  }
+
+  private void read(
+      EngineRequest request, Response response, CallWatchdog.Watch watch, ChunkConsumer consumer) {
+    checkAnswer(request, response);
+    ChunkSequence sequence =
+        new ChunkSequence(request.attemptId(), request.chunksReceived(), metrics);
+    EngineEvents events =
+        new EngineEvents(chunkReader, sequence, watch, settings.tokenTimeoutMillis(), consumer);
+    EventSources.processResponse(response, events);
+    @Nullable RuntimeException consumerFailure = events.consumerFailure();
+    if (consumerFailure != null) {
+      throw consumerFailure;
+    }
+    if (!events.whole()) {
+      Stage stage = events.anyChunk() ? Stage.PARTIAL : sentStage(request);
+      throw broken(stage, watch, events.streamFailure());
+    }
+  }
+
+  private void checkAnswer(EngineRequest request, Response response) {
+    if (response.code() != 200) {
+      throw refusal(request, response);
+    }
+    @Nullable String echoed = response.header("X-Request-Id");
+    if (echoed != null && !echoed.equals(request.attemptId())) {
+      metrics.crossedAnswer();
+      throw new AttemptFailedException(
+          sentStage(request),
+          ErrorKind.BACKEND_FAILED,
+          "the engine sent the answer of another request",
+          null);
+    }
+  }
+
+  private RuntimeException refusal(EngineRequest request, Response response) {
+    int status = response.code();
+    JsonNode body = refusalBody(response);
+    if (status == 503 && body.path("outcome").asText().equals("not_run")) {
+      String reason = body.path("reason").asText("full");
+      return AttemptFailedException.refused(
+          "the engine refused: " + reason,
+          RetryAfter.parse(response.header("Retry-After")),
+          reason.equals("leaving"));
+    }
+    if (status == 400 || status == 413 || status == 422) {
+      return ColtsfootvaleException.unknown(
+          ErrorKind.MALFORMED_REQUEST,
+          "the engine answered " + status + " " + body.path("detail").asText());
+    }
+    return new AttemptFailedException(
+        sentStage(request), ErrorKind.BACKEND_FAILED, "the engine answered " + status, null);
+  }
+
+  private JsonNode refusalBody(Response response) {
+    try {
+      return mapper.readTree(response.peekBody(REFUSAL_BYTES_MAX).bytes());
+    } catch (IOException e) {
+      return mapper.nullNode();
+    }
+  }
+
+  private static RuntimeException failure(
+      EngineRequest request, SendGate gate, CallWatchdog.Watch watch, IOException cause) {
+    if (!gate.passed()) {
+      return new AttemptFailedException(
+          request.resume() ? sentStage(request) : Stage.NOT_SENT,
+          watch.expiry() == CallWatchdog.Expiry.DEADLINE
+              ? ErrorKind.DEADLINE_EXCEEDED
+              : ErrorKind.NO_BACKEND,
+          "the engine could not be reached: " + cause.getMessage(),
+          cause);
+    }
+    return broken(sentStage(request), watch, cause);
+  }
+
+  private static Stage sentStage(EngineRequest request) {
+    return request.chunksReceived() > 0 ? Stage.PARTIAL : Stage.SENT;
+  }
+
+  private static AttemptFailedException broken(
+      Stage stage, CallWatchdog.Watch watch, @Nullable Throwable cause) {
+    if (watch.expiry() == CallWatchdog.Expiry.DEADLINE) {
+      return new AttemptFailedException(
+          stage, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed during the answer", cause);
+    }
+    String detail =
+        watch.expiry() == CallWatchdog.Expiry.SILENCE
+            ? "the engine fell silent"
+            : "the engine's answer broke off before its end marker";
+    return new AttemptFailedException(stage, ErrorKind.BACKEND_FAILED, detail, cause);
+  }
+
+  private Request httpRequest(EngineRequest request, SendGate gate) {
+    Request.Builder builder =
+        new Request.Builder()
+            .url(url(request.engine(), "/v1/chat/completions"))
+            .tag(SendGate.class, gate)
+            .header("X-Request-Id", request.attemptId())
+            .header("X-Priority", Integer.toString(request.priority()))
+            .header("X-Deadline-Millis", Long.toString(remainingMillis(request.deadline())))
+            .header("X-Chat", request.chat())
+            .header("Accept", "text/event-stream")
+            .header("Accept-Encoding", "identity")
+            .post(RequestBody.create(request.body(), JSON));
+    if (request.resume()) {
+      builder.header("X-Resume-Offset", Integer.toString(request.chunksReceived()));
+    }
+    if (request.importFrom() != null) {
+      builder.header("X-Import-From", request.importFrom().toString());
+    }
+    return builder.build();
+  }
+
+  private long remainingMillis(Instant deadline) {
+    return Math.max(1, Duration.between(clock.instant(), deadline).toMillis());
+  }
+
+  private static HttpUrl url(URI base, String path) {
+    return HttpUrl.get(base.resolve(path));
+  }
+
+  @Override
+  public void cancel(URI engine, String attemptId) {
+    OkHttpClient client = clients.pooled();
+    if (client.dispatcher().runningCallsCount() >= CANCELS_IN_PROGRESS_MAX) {
+      metrics.cancelDropped();
+      return;
+    }
+    Request request =
+        new Request.Builder().url(url(engine, "/v1/requests/" + attemptId)).delete().build();
+    Call call = client.newCall(request);
+    call.timeout().timeout(settings.connectTimeoutMillis(), TimeUnit.MILLISECONDS);
+    call.enqueue(
+        new Callback() {
+          @Override
+          public void onFailure(Call failed, IOException e) {
+            metrics.cancelDropped();
+          }
+
+          @Override
+          public void onResponse(Call done, Response response) {
+            response.close();
+            metrics.cancelSent();
+          }
+        });
+  }
+
+  /** Reads a chunk. */
+  static EngineChunk parse(ObjectReader reader, String json) {
+    try {
+      return reader.readValue(json);
+    } catch (JsonProcessingException e) {
+      throw new AttemptFailedException(
+          Stage.PARTIAL, ErrorKind.BACKEND_FAILED, "the engine sent a chunk that is no JSON", e);
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/ServiceClient.java
@@ -0,0 +1,51 @@
+package org.coltsfootvale.router.backend;
+
+import java.net.URI;
+import java.time.Instant;
+import okhttp3.Headers;
+import org.jspecify.annotations.Nullable;
+
+/** Sends requests to plain services. Thread-safe; blocks the calling thread. */
+public interface ServiceClient {
+
+  /**
+   * Sends a request and passes the answer on.
+   *
+   * @throws AttemptFailedException if no whole answer was passed on; an exception of the consumer
+   *     ends the attempt and is passed on
+   */
+  void call(ServiceCall call, SendGate gate, AnswerConsumer consumer);
+
+  /** Takes a service's answer; may block, which holds the service back. */
+  interface AnswerConsumer {
+
+    /** Takes the status and the headers, without hop-by-hop ones. */
+    void head(int status, Headers headers);
+
+    /** Takes a part of the body; the array is reused after the call. */
+    void body(byte[] data, int length);
+  }
+
+  /**
+   * One attempt at a replica of a service.
+   *
+   * @param replica the replica's base address
+   * @param method the HTTP method
+   * @param path the encoded path
+   * @param query the encoded query, or null
+   * @param headers the headers to send
+   * @param body the body, possibly empty
+   * @param deadline the time by which the whole answer is wanted
+   * @param freshConnection whether to open a connection instead of reusing one
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  record ServiceCall(
+      URI replica,
+      String method,
+      String path,
+      @Nullable String query,
+      Headers headers,
+      byte[] body,
+      Instant deadline,
+      boolean freshConnection) {}
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/caller/OrganisationKeys.java
@@ -0,0 +1,84 @@
+package org.coltsfootvale.router.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.model.OrganisationId;
+import org.coltsfootvale.core.release.FleetState;
+import org.coltsfootvale.core.release.OrganisationSpec;
+import org.jspecify.annotations.Nullable;
+
+/** Finds the organisation of a caller by the hash of its key; indexed once for each revision. */
+public final class OrganisationKeys {
+
+  private static final String SCHEME = "Bearer ";
+
+  private final Supplier<FleetState> fleet;
+  private volatile Index index = new Index(FleetState.empty(), Map.of());
+
+  /** Creates a finder over the current state of the fleet. */
+  public OrganisationKeys(Supplier<FleetState> fleet) {
+    this.fleet = fleet;
+  }
+
+  private record Index(FleetState state, Map<String, Entry> entries) {}
+
+  @SuppressWarnings("ArrayRecordComponent")
+  private record Entry(byte[] hash, OrganisationId organisation) {}
+
+  /**
+   * Returns the organisation of a caller.
+   *
+   * @param authorization the Authorization header, or null
+   * @throws ColtsfootvaleException UNAUTHENTICATED, not run
+   */
+  public OrganisationId authenticate(@Nullable String authorization) {
+    if (authorization == null || !authorization.startsWith(SCHEME)) {
+      throw refused("the request carries no key");
+    }
+    byte[] hash = sha256(authorization.substring(SCHEME.length()).strip());
+    @Nullable Entry entry = index().entries().get(HexFormat.of().formatHex(hash));
+    if (entry == null || !MessageDigest.isEqual(entry.hash(), hash)) {
+      throw refused("the key belongs to no organisation");
+    }
+    return entry.organisation();
+  }
+
+  private Index index() {
+    FleetState state = fleet.get();
+    Index current = index;
+    if (current.state() != state) {
+      current = new Index(state, entries(state));
+      index = current;
+    }
+    return current;
+  }
+
+  private static Map<String, Entry> entries(FleetState state) {
+    Map<String, Entry> entries = new HashMap<>();
+    for (OrganisationSpec organisation : state.organisations().values()) {
+      for (String hash : organisation.keyHashes()) {
+        entries.put(hash, new Entry(HexFormat.of().parseHex(hash), organisation.id()));
+      }
+    }
+    return entries;
+  }
+
+  private static byte[] sha256(String key) {
+    try {
+      return MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("the Java runtime has no SHA-256", e);
+    }
+  }
+
+  private static ColtsfootvaleException refused(String detail) {
+    return ColtsfootvaleException.notRun(ErrorKind.UNAUTHENTICATED, detail);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/caller/ServletAnswer.java
@@ -0,0 +1,105 @@
+package org.coltsfootvale.router.caller;
+
+import jakarta.servlet.ServletOutputStream;
+import jakarta.servlet.http.HttpServletResponse;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import okhttp3.Headers;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.router.request.Answer;
+import org.coltsfootvale.router.request.ProblemJson;
+
+/** Writes an answer to a caller's connection; a caller that reads slowly holds it back. */
+final class ServletAnswer implements Answer {
+
+  private static final String EVENT_STREAM = "text/event-stream";
+
+  private final HttpServletResponse response;
+  private final Headers common;
+  private final String requestId;
+  private final Runnable abort;
+  private boolean begun;
+  private boolean eventStream;
+
+  /**
+   * Creates an answer.
+   *
+   * @param response takes the answer
+   * @param common the headers that every answer carries
+   * @param requestId the request's id
+   * @param abort closes the connection without the end of the body
+   */
+  ServletAnswer(HttpServletResponse response, Headers common, String requestId, Runnable abort) {
+    this.response = response;
+    this.common = common;
+    this.requestId = requestId;
+    this.abort = abort;
+  }
+
+  @Override
+  public boolean begun() {
+    return begun;
+  }
+
+  @Override
+  public void head(int status, Headers headers) {
+    begun = true;
+    response.setStatus(status);
+    response.setContentType(null);
+    for (String name : headers.names()) {
+      response.setHeader(name, null);
+    }
+    headers.forEach(header -> response.addHeader(header.getFirst(), header.getSecond()));
+    common.forEach(header -> response.setHeader(header.getFirst(), header.getSecond()));
+    String type = headers.get("Content-Type");
+    eventStream = type != null && type.startsWith(EVENT_STREAM);
+  }
+
+  @Override
+  public void body(byte[] data, int length) {
+    try {
+      ServletOutputStream output = response.getOutputStream();
+      output.write(data, 0, length);
+      if (response.getHeader("Content-Length") == null) {
+        output.flush();
+      }
+    } catch (IOException e) {
+      throw new ColtsfootvaleException(
+          ErrorKind.CANCELLED,
+          org.coltsfootvale.core.error.Outcome.UNKNOWN,
+          "the caller went away",
+          null,
+          e);
+    }
+  }
+
+  @Override
+  public void end() {
+    // The server ends the body when the handler returns.
+  }
+
+  @Override
+  public void fail(ColtsfootvaleException error) {
+    if (!begun) {
+      problem(error);
+    } else if (eventStream) {
+      errorEvent(error);
+    } else {
+      abort.run();
+    }
+  }
+
+  private void problem(ColtsfootvaleException error) {
+    byte[] body = ProblemJson.write(error, requestId);
+    head(error.kind().httpStatus(), ProblemJson.headers(error));
+    response.setContentLength(body.length);
+    body(body, body.length);
+  }
+
+  private void errorEvent(ColtsfootvaleException error) {
+    String data = new String(ProblemJson.write(error, requestId), StandardCharsets.UTF_8);
+    byte[] event = ("event: error\ndata: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
+    body(event, event.length);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/forward/PeerAnswer.java
@@ -0,0 +1,87 @@
+package org.coltsfootvale.router.forward;
+
+import java.util.Arrays;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import okhttp3.Headers;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.error.Outcome;
+import org.coltsfootvale.protocol.ForwardResponder;
+import org.coltsfootvale.protocol.wire.ForwardHead;
+import org.coltsfootvale.protocol.wire.Header;
+import org.coltsfootvale.router.request.Answer;
+import org.jspecify.annotations.Nullable;
+
+/** Sends an answer back to the peer that forwarded the request, as fast as its credit allows. */
+final class PeerAnswer implements Answer {
+
+  private static final long CREDIT_TIMEOUT_SECONDS = 60;
+
+  private final ForwardResponder responder;
+  private volatile boolean cancelled;
+  private volatile @Nullable CompletableFuture<Void> credit;
+  private boolean begun;
+
+  PeerAnswer(ForwardResponder responder) {
+    this.responder = responder;
+  }
+
+  /** Tells that the peer no longer wants the answer. */
+  void cancel() {
+    cancelled = true;
+    CompletableFuture<Void> waiting = credit;
+    if (waiting != null) {
+      waiting.cancel(false);
+    }
+  }
+
+  @Override
+  public boolean begun() {
+    return begun;
+  }
+
+  @Override
+  public void head(int status, Headers headers) {
+    begun = true;
+    ForwardHead.Builder head = ForwardHead.newBuilder().setStatus(status);
+    for (int i = 0; i < headers.size(); i++) {
+      head.addHeaders(Header.newBuilder().setName(headers.name(i)).setValue(headers.value(i)));
+    }
+    responder.head(head.build());
+  }
+
+  @Override
+  public void body(byte[] data, int length) {
+    if (cancelled) {
+      throw gone(null);
+    }
+    CompletableFuture<Void> next = responder.body(Arrays.copyOf(data, length));
+    credit = next;
+    try {
+      next.get(CREDIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    } catch (ExecutionException | TimeoutException | java.util.concurrent.CancellationException e) {
+      throw gone(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw gone(e);
+    }
+  }
+
+  private static ColtsfootvaleException gone(@Nullable Throwable cause) {
+    return new ColtsfootvaleException(
+        ErrorKind.CANCELLED, Outcome.UNKNOWN, "the forwarding router went away", null, cause);
+  }
+
+  @Override
+  public void end() {
+    responder.end();
+  }
+
+  @Override
+  public void fail(ColtsfootvaleException error) {
+    responder.fail(error);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/KeyedRequests.java
@@ -0,0 +1,224 @@
+package org.coltsfootvale.router.request;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import okhttp3.Headers;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.error.Outcome;
+import org.coltsfootvale.core.once.IdempotencyKey;
+import org.coltsfootvale.core.once.KeyPrefixes;
+import org.coltsfootvale.core.once.OnceDecision;
+import org.coltsfootvale.core.once.OnceDecision.Execution;
+import org.coltsfootvale.core.once.OnceRegistry;
+import org.coltsfootvale.core.once.StoredAnswer;
+import org.jspecify.annotations.Nullable;
+
+/** Runs requests with an idempotency key where and as often as the registry allows. */
+public final class KeyedRequests {
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final KeyPrefixes prefixes;
+  private final OnceRegistry registry;
+  private final Forwarder forwarder;
+  private final ServingSettings settings;
+  private final ServingMetrics metrics;
+  private final InstantSource clock;
+
+  /** Creates the handler. */
+  public KeyedRequests(
+      KeyPrefixes prefixes,
+      OnceRegistry registry,
+      Forwarder forwarder,
+      ServingSettings settings,
+      ServingMetrics metrics,
+      InstantSource clock) {
+    this.prefixes = prefixes;
+    this.registry = registry;
+    this.forwarder = forwarder;
+    this.settings = settings;
+    this.metrics = metrics;
+    this.clock = clock;
+  }
+
+  /** The work of a request, run here at most once for each key. */
+  @FunctionalInterface
+  interface Work {
+
+    /**
+     * Does the work.
+     *
+     * @param beforeSend to be called directly before a byte leaves towards a backend server
+     * @param answer takes the answer
+     */
+    void run(Runnable beforeSend, Answer answer);
+  }
+
+  /** Tells whether a request is marked as not to be repeated. */
+  static boolean marked(IncomingRequest request) {
+    @Nullable String mark = request.headers().get(CallerHeaders.NO_REPEAT);
+    if (mark == null || mark.equals("false")) {
+      return false;
+    }
+    if (!mark.equals("true")) {
+      throw malformed(CallerHeaders.NO_REPEAT + " must be 'true' or 'false'");
+    }
+    return true;
+  }
+
+  /** Serves a request: directly without a key, else as the registry decides. */
+  void serve(IncomingRequest request, Answer answer, Work work) {
+    @Nullable String text = request.headers().get(CallerHeaders.IDEMPOTENCY_KEY);
+    if (text != null) {
+      serve(decide(request, text), request, answer, work);
+      return;
+    }
+    if (marked(request)) {
+      throw malformed(CallerHeaders.NO_REPEAT + " needs an " + CallerHeaders.IDEMPOTENCY_KEY);
+    }
+    work.run(() -> {}, answer);
+  }
+
+  private OnceDecision decide(IncomingRequest request, String text) {
+    try {
+      IdempotencyKey key = prefixes.parse(request.organisation(), text);
+      return registry.begin(key, fingerprint(request));
+    } catch (ColtsfootvaleException e) {
+      // The key may have run before it expired.
+      throw e.kind() == ErrorKind.KEY_EXPIRED ? Truthful.error(e, true) : e;
+    }
+  }
+
+  private static long fingerprint(IncomingRequest request) {
+    return Hashing.komihash5_0()
+        .hashStream()
+        .putString(request.method())
+        .putString(request.path())
+        .putString(request.query() == null ? "" : request.query())
+        .putByteArray(request.body())
+        .getAsLong();
+  }
+
+  private void serve(OnceDecision decision, IncomingRequest request, Answer answer, Work work) {
+    if (decision instanceof OnceDecision.Run run) {
+      metrics.keyDecision("run");
+      run(run.execution(), answer, work);
+    } else if (decision instanceof OnceDecision.Attach attach) {
+      metrics.keyDecision("attach");
+      replay(attached(attach.answer(), request), answer);
+    } else if (decision instanceof OnceDecision.Forward forward) {
+      metrics.keyDecision("forward");
+      forward(forward, request, answer);
+    } else if (decision instanceof OnceDecision.Claim claim) {
+      metrics.keyDecision("claim");
+      serve(claimed(claim.decision(), request), request, answer, work);
+    }
+  }
+
+  private void run(Execution execution, Answer answer, Work work) {
+    RecordingAnswer recording = new RecordingAnswer(answer, settings.storedAnswerBytesMax());
+    try {
+      work.run(execution::beforeSend, recording);
+    } catch (ColtsfootvaleException e) {
+      if (e.outcome() == Outcome.NOT_RUN) {
+        execution.notRun();
+      } else {
+        execution.unknown(e);
+      }
+      throw e;
+    } catch (RuntimeException | Error e) {
+      execution.unknown(
+          new ColtsfootvaleException(
+              ErrorKind.INTERNAL, Outcome.UNKNOWN, "the router failed", null, e));
+      throw e;
+    }
+    @Nullable StoredAnswer stored = recording.stored();
+    if (stored != null) {
+      execution.finished(stored);
+    } else {
+      execution.unknown(
+          ColtsfootvaleException.unknown(
+              ErrorKind.BACKEND_FAILED, "the request ran, but its answer is too large to keep"));
+    }
+  }
+
+  private StoredAnswer attached(CompletableFuture<StoredAnswer> answer, IncomingRequest request) {
+    try {
+      return await(answer, request);
+    } catch (TimeoutException e) {
+      throw new ColtsfootvaleException(
+          ErrorKind.IN_PROGRESS,
+          Outcome.UNKNOWN,
+          "the first request with this key has not ended within the deadline",
+          RETRY_AFTER,
+          e);
+    }
+  }
+
+  private OnceDecision claimed(CompletableFuture<OnceDecision> decision, IncomingRequest request) {
+    try {
+      return await(decision, request);
+    } catch (TimeoutException e) {
+      var unused = decision.thenAccept(KeyedRequests::abandon);
+      throw new ColtsfootvaleException(
+          ErrorKind.PLATFORM_UNAVAILABLE,
+          Outcome.UNKNOWN,
+          "the key could not be claimed within the deadline",
+          RETRY_AFTER,
+          e);
+    }
+  }
+
+  private static void abandon(OnceDecision decision) {
+    if (decision instanceof OnceDecision.Run run) {
+      run.execution().notRun();
+    }
+  }
+
+  private <T> T await(CompletableFuture<T> future, IncomingRequest request)
+      throws TimeoutException {
+    long millis = Duration.between(clock.instant(), request.deadline()).toMillis();
+    try {
+      return future.get(Math.max(1, millis), TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      if (e.getCause() instanceof ColtsfootvaleException error) {
+        throw error;
+      }
+      throw new ColtsfootvaleException(
+          ErrorKind.INTERNAL, Outcome.UNKNOWN, "the key's state was lost", null, e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw ColtsfootvaleException.unknown(ErrorKind.CANCELLED, "the router is being stopped");
+    }
+  }
+
+  private static void replay(StoredAnswer stored, Answer answer) {
+    Headers.Builder headers = new Headers.Builder();
+    stored
+        .headers()
+        .forEach((name, values) -> values.forEach(v -> headers.addUnsafeNonAscii(name, v)));
+    answer.head(stored.status(), headers.build());
+    if (stored.body().length > 0) {
+      answer.body(stored.body(), stored.body().length);
+    }
+    answer.end();
+  }
+
+  private void forward(OnceDecision.Forward forward, IncomingRequest request, Answer answer) {
+    if (request.forwarded()) {
+      throw ColtsfootvaleException.unknown(
+          ErrorKind.HOME_LOST, "the key's home is " + forward.home() + ", not this router");
+    }
+    forwarder.forward(forward.home(), request, answer);
+  }
+
+  private static ColtsfootvaleException malformed(String detail) {
+    return ColtsfootvaleException.notRun(ErrorKind.MALFORMED_REQUEST, detail);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/Pause.java
@@ -0,0 +1,23 @@
+package org.coltsfootvale.router.request;
+
+import java.time.Duration;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+
+/** Waits before the next attempt; tests replace it. */
+@FunctionalInterface
+public interface Pause {
+
+  /** Blocks the calling thread for the given time. */
+  void await(Duration duration);
+
+  /** Sleeps. */
+  static void sleep(Duration duration) {
+    try {
+      Thread.sleep(duration.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw ColtsfootvaleException.unknown(ErrorKind.CANCELLED, "the router is being stopped");
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/PlainServices.java
@@ -0,0 +1,97 @@
+package org.coltsfootvale.router.request;
+
+import java.time.InstantSource;
+import java.util.function.Supplier;
+import org.coltsfootvale.core.admission.AdmissionController;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.model.ServiceId;
+import org.coltsfootvale.core.release.FleetState;
+import org.coltsfootvale.core.release.ServiceSpec;
+import org.coltsfootvale.core.retry.CircuitBreakers;
+import org.coltsfootvale.core.retry.RetryPolicy;
+import org.coltsfootvale.router.backend.ServiceClient;
+import org.jspecify.annotations.Nullable;
+
+/** Serves requests to plain services. */
+public final class PlainServices implements RequestHandler {
+
+  private final Collaborators collaborators;
+  private final KeyedRequests keyed;
+
+  /** Creates the handler. */
+  public PlainServices(Collaborators collaborators, KeyedRequests keyed) {
+    this.collaborators = collaborators;
+    this.keyed = keyed;
+  }
+
+  /**
+   * What a service request's course needs.
+   *
+   * @param fleet the state of the fleet
+   * @param replicas chooses replicas
+   * @param admission enforces limits
+   * @param retryPolicy decides what follows a failure
+   * @param breakers the replicas' circuit breakers, by replica id
+   * @param client sends to services
+   * @param metrics counts
+   * @param clock the clock
+   * @param pause waits between attempts
+   */
+  public record Collaborators(
+      Supplier<FleetState> fleet,
+      ServiceReplicas replicas,
+      AdmissionController admission,
+      RetryPolicy retryPolicy,
+      CircuitBreakers breakers,
+      ServiceClient client,
+      ServingMetrics metrics,
+      InstantSource clock,
+      Pause pause) {}
+
+  /**
+   * Returns the service that a path names.
+   *
+   * @param path the encoded path, from {@link RequestDispatcher#SERVICES_PATH}
+   * @throws ColtsfootvaleException UNKNOWN_SERVICE, not run
+   */
+  public static ServiceSpec find(FleetState fleet, String path) {
+    String name = name(path);
+    @Nullable ServiceSpec service;
+    try {
+      service = fleet.services().get(new ServiceId(name));
+    } catch (IllegalArgumentException e) {
+      service = null;
+    }
+    if (service == null) {
+      throw ColtsfootvaleException.notRun(
+          ErrorKind.UNKNOWN_SERVICE, "no release note has added the service of this path");
+    }
+    return service;
+  }
+
+  private static String name(String path) {
+    String rest = path.substring(RequestDispatcher.SERVICES_PATH.length());
+    int slash = rest.indexOf('/');
+    return slash < 0 ? rest : rest.substring(0, slash);
+  }
+
+  @Override
+  public void serve(IncomingRequest request, Answer answer) {
+    ServiceSpec service = find(collaborators.fleet().get(), request.path());
+    if (request.body().length > service.bodyBytesMax()) {
+      throw ColtsfootvaleException.notRun(
+          ErrorKind.BODY_TOO_LARGE,
+          "the service takes at most " + service.bodyBytesMax() + " bytes");
+    }
+    String name = name(request.path());
+    String rest =
+        request.path().substring(RequestDispatcher.SERVICES_PATH.length() + name.length());
+    String path = rest.isEmpty() ? "/" : rest;
+    keyed.serve(
+        request,
+        answer,
+        (beforeSend, target) ->
+            new ServiceCourse(collaborators, request, service, path, beforeSend, target).run());
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/Fakes.java
@@ -0,0 +1,240 @@
+package org.coltsfootvale.router.caller;
+
+import java.lang.reflect.Proxy;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.membership.Membership;
+import org.coltsfootvale.core.model.EngineId;
+import org.coltsfootvale.core.model.OrganisationId;
+import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.once.IdempotencyKey;
+import org.coltsfootvale.core.once.KeyPrefixes;
+import org.coltsfootvale.core.once.OnceDecision;
+import org.coltsfootvale.core.once.OnceRegistry;
+import org.coltsfootvale.core.once.StoredAnswer;
+import org.coltsfootvale.core.placement.CacheHint;
+import org.coltsfootvale.core.placement.ContinuationTokens;
+import org.coltsfootvale.core.placement.EngineSelector;
+import org.coltsfootvale.core.placement.PlacementRequest;
+import org.coltsfootvale.core.placement.Reservation;
+import org.coltsfootvale.core.retry.AttemptFailure;
+import org.coltsfootvale.core.retry.AttemptFailure.Stage;
+import org.coltsfootvale.core.retry.CircuitBreakers;
+import org.coltsfootvale.core.retry.RequestTraits;
+import org.coltsfootvale.core.retry.RetryDecision;
+import org.coltsfootvale.core.retry.RetryPolicy;
+import org.jspecify.annotations.Nullable;
+
+/** Small stand-ins for the decisions of core. */
+final class Fakes {
+
+  static final RouterIncarnation SELF = new RouterIncarnation(new RouterId("r1"), 1);
+  static final RouterIncarnation HOME = new RouterIncarnation(new RouterId("r2"), 7);
+
+  private Fakes() {}
+
+  /** Takes the first engine that is not excluded. */
+  record FirstEngine(List<EngineId> engines, Queue<PlacementRequest> seen)
+      implements EngineSelector {
+
+    @Override
+    public Reservation select(PlacementRequest request) {
+      seen.add(request);
+      for (EngineId engine : engines) {
+        if (!request.excluded().contains(engine)) {
+          return new PlainReservation(engine);
+        }
+      }
+      throw ColtsfootvaleException.notRun(
+          ErrorKind.NO_BACKEND, "no engine is left", Duration.ofSeconds(1));
+    }
+  }
+
+  record PlainReservation(EngineId engine) implements Reservation {
+    @Override
+    public long engineIncarnation() {
+      return 5;
+    }
+
+    @Override
+    public int cachedTokensExpected() {
+      return 0;
+    }
+
+    @Override
+    public @Nullable EngineId importFrom() {
+      return null;
+    }
+
+    @Override
+    public void prefilled() {}
+
+    @Override
+    public void generated(int tokens) {}
+
+    @Override
+    public void release() {}
+  }
+
+  /** Writes tokens as plain text. */
+  static final class PlainTokens implements ContinuationTokens {
+    @Override
+    public String issue(OrganisationId organisation, String chat, CacheHint hint) {
+      return organisation + "|" + chat + "|" + hint.engine() + "|" + hint.cachedTokens();
+    }
+
+    @Override
+    public Optional<CacheHint> verify(OrganisationId organisation, String chat, String token) {
+      String[] parts = token.split("\\|", -1);
+      if (parts.length != 4) {
+        throw ColtsfootvaleException.notRun(ErrorKind.MALFORMED_REQUEST, "no token");
+      }
+      if (!parts[0].equals(organisation.value()) || !parts[1].equals(chat)) {
+        throw ColtsfootvaleException.notRun(ErrorKind.FORBIDDEN, "another chat's token");
+      }
+      return Optional.of(
+          new CacheHint(new EngineId(parts[2]), 5, Integer.parseInt(parts[3]), Instant.EPOCH));
+    }
+  }
+
+  /** Retries what may be repeated up to three times, at once. */
+  static final class AtOnce implements RetryPolicy {
+    @Override
+    public void requestStarted() {}
+
+    @Override
+    public RetryDecision decide(RequestTraits traits, int attempts, AttemptFailure failure) {
+      boolean tryAgain = attempts < 4 && failure.kind() != ErrorKind.DEADLINE_EXCEEDED;
+      Stage stage = failure.stage();
+      boolean safe = stage == Stage.NOT_SENT || stage == Stage.REFUSED;
+      if (tryAgain && stage == Stage.PARTIAL && traits.resumable()) {
+        return new RetryDecision.Resume(Duration.ZERO);
+      }
+      if (tryAgain && (safe || (stage == Stage.SENT && traits.repeatable()))) {
+        return new RetryDecision.Elsewhere(Duration.ZERO);
+      }
+      return new RetryDecision.GiveUp(
+          safe
+              ? ColtsfootvaleException.notRun(failure.kind(), failure.detail())
+              : ColtsfootvaleException.unknown(failure.kind(), failure.detail()));
+    }
+  }
+
+  static final class ClosedBreakers implements CircuitBreakers {
+    @Override
+    public boolean tryAcquire(String backend) {
+      return true;
+    }
+
+    @Override
+    public boolean isClosed(String backend) {
+      return true;
+    }
+
+    @Override
+    public void onSuccess(String backend) {}
+
+    @Override
+    public void onFailure(String backend) {}
+  }
+
+  /** Records the names of the engines that were reported as leaving or silent. */
+  static Membership membership(Queue<String> reports) {
+    return (Membership)
+        Proxy.newProxyInstance(
+            Fakes.class.getClassLoader(),
+            new Class<?>[] {Membership.class},
+            (proxy, method, arguments) -> {
+              reports.add(method.getName() + " " + arguments[0]);
+              return null;
+            });
+  }
+
+  /** Keys with {@code r2.} have another home; {@code bad} is malformed, {@code old} expired. */
+  static final class PlainPrefixes implements KeyPrefixes {
+    @Override
+    public String mint(RouterIncarnation home) {
+      return home.id().value();
+    }
+
+    @Override
+    public IdempotencyKey parse(OrganisationId organisation, String text) {
+      if (text.startsWith("bad")) {
+        throw ColtsfootvaleException.notRun(ErrorKind.MALFORMED_KEY, "the key is not authentic");
+      }
+      if (text.startsWith("old")) {
+        throw ColtsfootvaleException.notRun(ErrorKind.KEY_EXPIRED, "the key has expired");
+      }
+      RouterIncarnation home = text.startsWith("r2.") ? HOME : SELF;
+      return new IdempotencyKey(organisation, text, home, Instant.MAX);
+    }
+  }
+
+  /** Runs each key once; a run that ends without having run is forgotten. */
+  static final class PlainOnce implements OnceRegistry {
+    final Map<IdempotencyKey, CompletableFuture<StoredAnswer>> answers = new ConcurrentHashMap<>();
+    final Queue<String> ends = new ConcurrentLinkedQueue<>();
+    volatile boolean lapsed;
+
+    @Override
+    public OnceDecision begin(IdempotencyKey key, long fingerprint) {
+      if (!Fakes.SELF.equals(key.home())) {
+        return new OnceDecision.Forward(Fakes.HOME);
+      }
+      CompletableFuture<StoredAnswer> fresh = new CompletableFuture<>();
+      CompletableFuture<StoredAnswer> known = answers.putIfAbsent(key, fresh);
+      if (known != null) {
+        return new OnceDecision.Attach(known);
+      }
+      OnceDecision run = new OnceDecision.Run(execution(key, fresh));
+      return key.text().startsWith("claim")
+          ? new OnceDecision.Claim(CompletableFuture.completedFuture(run))
+          : run;
+    }
+
+    private OnceDecision.Execution execution(
+        IdempotencyKey key, CompletableFuture<StoredAnswer> answer) {
+      return new OnceDecision.Execution() {
+        @Override
+        public void beforeSend() {
+          if (lapsed) {
+            throw ColtsfootvaleException.notRun(ErrorKind.HOME_LOST, "the claim has lapsed");
+          }
+        }
+
+        @Override
+        public void finished(StoredAnswer stored) {
+          ends.add("finished");
+          answer.complete(stored);
+        }
+
+        @Override
+        public void notRun() {
+          ends.add("notRun");
+          answers.remove(key);
+        }
+
+        @Override
+        public void unknown(ColtsfootvaleException error) {
+          ends.add("unknown");
+          answer.completeExceptionally(error);
+        }
+      };
+    }
+
+    @Override
+    public int size() {
+      return answers.size();
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/StubEngine.java
@@ -0,0 +1,177 @@
+package org.coltsfootvale.router.caller;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
+
+/** An engine that answers with fixed words and fails as it is told. */
+final class StubEngine implements AutoCloseable {
+
+  static final List<String> WORDS = List.of("A", " coot", " sits", " on", " the", " pond");
+
+  enum Fault {
+    NONE,
+    FULL,
+    LEAVING,
+    STATUS_500,
+    CLOSE_UNANSWERED,
+    BREAK_AFTER_TWO,
+    SILENT_AFTER_TWO,
+    NO_END_MARKER,
+    NO_LAST_CHUNK,
+    CROSSED_CHUNK,
+    CROSSED_ANSWER,
+    REPEATED_CHUNK,
+    MISSING_CHUNK,
+    HELD
+  }
+
+  record Seen(String id, @Nullable String resumeOffset, String chat, String priority) {}
+
+  final Queue<Fault> faults = new ConcurrentLinkedQueue<>();
+  final Queue<Seen> seen = new ConcurrentLinkedQueue<>();
+  final AtomicInteger started = new AtomicInteger();
+  final BlockingQueue<String> cancelled = new LinkedBlockingQueue<>();
+  final CountDownLatch held = new CountDownLatch(1);
+  final CountDownLatch released = new CountDownLatch(1);
+  private final ExecutorService executor = Executors.newCachedThreadPool();
+  private final HttpServer server;
+
+  StubEngine() throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(executor);
+    server.createContext("/v1/chat/completions", this::chat);
+    server.createContext("/v1/requests/", this::cancel);
+    server.start();
+  }
+
+  URI address() {
+    return URI.create("http://127.0.0.1:" + server.getAddress().getPort());
+  }
+
+  private void cancel(HttpExchange exchange) throws IOException {
+    String path = exchange.getRequestURI().getPath();
+    cancelled.add(path.substring(path.lastIndexOf('/') + 1));
+    exchange.sendResponseHeaders(204, -1);
+    exchange.close();
+  }
+
+  private void chat(HttpExchange exchange) throws IOException {
+    exchange.getRequestBody().readAllBytes();
+    var headers = exchange.getRequestHeaders();
+    String id = headers.getFirst("X-Request-Id");
+    String offset = headers.getFirst("X-Resume-Offset");
+    seen.add(new Seen(id, offset, headers.getFirst("X-Chat"), headers.getFirst("X-Priority")));
+    Fault fault = faults.isEmpty() ? Fault.NONE : faults.remove();
+    switch (fault) {
+      case FULL -> refuse(exchange, "full");
+      case LEAVING -> refuse(exchange, "leaving");
+      case STATUS_500 -> {
+        exchange.sendResponseHeaders(500, -1);
+        exchange.close();
+      }
+      case CLOSE_UNANSWERED -> exchange.close();
+      default -> stream(exchange, id, offset == null ? 0 : Integer.parseInt(offset), fault);
+    }
+  }
+
+  private static void refuse(HttpExchange exchange, String reason) throws IOException {
+    byte[] body =
+        ("{\"outcome\":\"not_run\",\"reason\":\"" + reason + "\"}")
+            .getBytes(StandardCharsets.UTF_8);
+    exchange.getResponseHeaders().add("Retry-After", "0");
+    exchange.sendResponseHeaders(503, body.length);
+    exchange.getResponseBody().write(body);
+    exchange.close();
+  }
+
+  private void stream(HttpExchange exchange, String id, int offset, Fault fault)
+      throws IOException {
+    started.incrementAndGet();
+    String echoed = fault == Fault.CROSSED_ANSWER ? "another" : id;
+    exchange.getResponseHeaders().add("Content-Type", "text/event-stream");
+    exchange.getResponseHeaders().add("X-Request-Id", echoed);
+    exchange.sendResponseHeaders(200, 0);
+    OutputStream output = exchange.getResponseBody();
+    int words = fault == Fault.NO_LAST_CHUNK ? WORDS.size() - 1 : WORDS.size();
+    for (int i = offset; i < words; i++) {
+      if (i == 2 && !beforeThird(exchange, output, id, fault)) {
+        return;
+      }
+      send(output, chunk(id, i));
+    }
+    if (fault != Fault.NO_END_MARKER) {
+      send(output, "[DONE]");
+    }
+    exchange.close();
+  }
+
+  /** Returns false if the answer ends here. */
+  private boolean beforeThird(HttpExchange exchange, OutputStream output, String id, Fault fault)
+      throws IOException {
+    switch (fault) {
+      case BREAK_AFTER_TWO -> {
+        exchange.close();
+        return false;
+      }
+      case SILENT_AFTER_TWO, HELD -> await();
+      case CROSSED_CHUNK -> send(output, chunk("another", 2));
+      case REPEATED_CHUNK -> send(output, chunk(id, 1));
+      case MISSING_CHUNK -> send(output, chunk(id, 3));
+      default -> {}
+    }
+    return true;
+  }
+
+  private void await() {
+    held.countDown();
+    try {
+      released.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void send(OutputStream output, String data) throws IOException {
+    output.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+    output.flush();
+  }
+
+  private static String chunk(String id, int index) {
+    String last =
+        index < WORDS.size() - 1
+            ? ""
+            : ",\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":8,"
+                + "\"completion_tokens\":6,\"prompt_tokens_details\":{\"cached_tokens\":3}}}";
+    return "{\"id\":\""
+        + id
+        + "\",\"index\":"
+        + index
+        + ",\"choices\":[{\"delta\":{\"content\":\""
+        + WORDS.get(index)
+        + "\"}"
+        + (last.isEmpty() ? "}]}" : last);
+  }
+
+  @Override
+  public void close() {
+    released.countDown();
+    server.stop(0);
+    executor.shutdownNow();
+  }
+}
