--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/settings/RouterSettings.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/settings/RouterSettings.java
@@ -11,9 +11,10 @@
  * The checked settings of a router process, read once at its start.
  *
  * @param router who and where the process is
+ * @param regions the regions of the fleet; may be empty if there is one
  * @param listen the addresses it binds
  * @param platform the platform's services
- * @param peers routers to gossip with before the host list is known; may be empty
+ * @param peers addresses of routers to gossip with before the host list is known; may be empty
  * @param security secrets and lifetimes of what they sign
  * @param requests limits of callers' requests
  * @param control intervals and budgets of the control traffic
@@ -21,9 +22,10 @@
  */
 public record RouterSettings(
     Identity router,
+    List<Region> regions,
     Listen listen,
     Platform platform,
-    List<Peer> peers,
+    List<HostPort> peers,
     Security security,
     Requests requests,
     Control control,
@@ -31,18 +33,32 @@
 
   /** Copies the list. */
   public RouterSettings {
+    regions = List.copyOf(regions);
     peers = List.copyOf(peers);
   }
 
   /** Who and where the process is. */
-  public record Identity(RouterId id, DataCentreId dataCentre, String region) {
+  public record Identity(RouterId id, DataCentreId dataCentre) {}
+
+  /** A region and its data centres. */
+  public record Region(String id, List<DataCentreId> dataCentres) {
 
     /** Checks the region's name. */
-    public Identity {
-      Checks.identifier(region, "region");
+    public Region {
+      Checks.identifier(id, "id");
+      dataCentres = List.copyOf(dataCentres);
     }
   }
 
+  /** Returns the region of a data centre; data centres that no region lists share one. */
+  public String regionOf(DataCentreId dataCentre) {
+    return regions.stream()
+        .filter(region -> region.dataCentres().contains(dataCentre))
+        .map(Region::id)
+        .findFirst()
+        .orElse("");
+  }
+
   /**
    * The addresses that the process binds, each {@code ip:port}.
    *
@@ -73,9 +89,6 @@
     }
   }
 
-  /** A configured peer. */
-  public record Peer(RouterId id, DataCentreId dataCentre, HostPort address) {}
-
   /**
    * Secrets and lifetimes.
    *
