Add engine and replica selection, limits, retries and circuit breakers

Cause: the serving path needs an implementation behind each seam of placement, admission and retry. Change: weighted rendezvous ranking with a load bound, hint, import, join ramp and flap damping; HMAC continuation tokens; least outstanding of two for plain services; token buckets on demand shares and max-min fairness when saturated; a retry budget and half-open circuits.

--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultEngineSelector.java
@@ -0,0 +1,98 @@
+package org.coltsfootvale.core.placement;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.model.FleetView;
+import org.coltsfootvale.core.release.FleetState;
+import org.coltsfootvale.core.release.PolicySpec;
+import org.coltsfootvale.core.retry.CircuitBreakers;
+import org.coltsfootvale.core.support.RendezvousHashing;
+
+/**
+ * Chooses by weighted rendezvous ranking, the caller's hint and a bound on the estimated load.
+ *
+ * <p>An engine may take a request if its estimated load stays within the load bound times the mean
+ * over the live engines of the model. Where no engine has that much room, the least loaded one
+ * takes the request, unless all of them are at their absolute limit.
+ */
+public final class DefaultEngineSelector implements EngineSelector {
+
+  private static final Duration RETRY_NO_BACKEND = Duration.ofSeconds(2);
+  private static final Duration RETRY_OVERLOADED = Duration.ofSeconds(1);
+
+  private final Supplier<FleetState> state;
+  private final EngineRanking ranking;
+  private final CircuitBreakers circuits;
+  private final InstantSource clock;
+  private final PlacementOptions options;
+
+  /** Creates a selector over snapshots of the release state and the membership view. */
+  public DefaultEngineSelector(
+      Supplier<FleetState> state,
+      Supplier<FleetView> view,
+      CircuitBreakers circuits,
+      InstantSource clock,
+      PlacementOptions options) {
+    this.state = state;
+    this.ranking = new EngineRanking(state, view, clock, options);
+    this.circuits = circuits;
+    this.clock = clock;
+    this.options = options;
+  }
+
+  @Override
+  public Reservation select(PlacementRequest request) {
+    long chatHash =
+        RendezvousHashing.combine(
+            RendezvousHashing.hash(request.organisation().value()),
+            RendezvousHashing.hash(request.chat()));
+    List<RankedEngine> live = ranking.rank(request.model(), chatHash);
+    if (live.isEmpty()) {
+      throw ColtsfootvaleException.notRun(
+          ErrorKind.NO_BACKEND, "no live engine serves model " + request.model(), RETRY_NO_BACKEND);
+    }
+    PolicySpec policy = state.get().policy();
+    CandidateOrder order = new CandidateOrder(request, policy, options, live);
+    for (RankedEngine engine : order.best()) {
+      if (circuits.tryAcquire(engine.view().id().value())) {
+        return reserve(engine, request, order);
+      }
+    }
+    throw refusal(request, live);
+  }
+
+  private Reservation reserve(RankedEngine engine, PlacementRequest request, CandidateOrder order) {
+    CandidateOrder.Plan plan = order.plan(engine);
+    long uncachedTokens = Math.max(0, request.promptTokens() - plan.cachedTokens());
+    engine.account().add(clock.millis(), uncachedTokens);
+    return new DefaultReservation(
+        engine.view().id(),
+        engine.view().incarnation(),
+        plan.cachedTokens(),
+        plan.importFrom(),
+        uncachedTokens,
+        engine.account(),
+        clock);
+  }
+
+  private ColtsfootvaleException refusal(PlacementRequest request, List<RankedEngine> live) {
+    List<String> names = new ArrayList<>();
+    live.forEach(engine -> names.add(engine.view().id().value()));
+    boolean allOpen = names.stream().noneMatch(circuits::isClosed);
+    if (allOpen) {
+      return ColtsfootvaleException.notRun(
+          ErrorKind.NO_BACKEND,
+          "the circuits of all engines that serve model " + request.model() + " are open",
+          RETRY_NO_BACKEND);
+    }
+    return ColtsfootvaleException.notRun(
+        ErrorKind.OVERLOADED,
+        "all engines that serve model " + request.model() + " are at their limit",
+        RETRY_OVERLOADED);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultReservation.java
@@ -0,0 +1,78 @@
+package org.coltsfootvale.core.placement;
+
+import java.time.InstantSource;
+import org.coltsfootvale.core.model.EngineId;
+import org.jspecify.annotations.Nullable;
+
+/** A reservation that keeps the account of its engine. */
+final class DefaultReservation implements Reservation {
+
+  private final EngineId engine;
+  private final long engineIncarnation;
+  private final int cachedTokensExpected;
+  private final @Nullable EngineId importFrom;
+  private final EngineAccount account;
+  private final InstantSource clock;
+  private long promptTokensQueued;
+  private boolean released;
+
+  DefaultReservation(
+      EngineId engine,
+      long engineIncarnation,
+      int cachedTokensExpected,
+      @Nullable EngineId importFrom,
+      long promptTokensQueued,
+      EngineAccount account,
+      InstantSource clock) {
+    this.engine = engine;
+    this.engineIncarnation = engineIncarnation;
+    this.cachedTokensExpected = cachedTokensExpected;
+    this.importFrom = importFrom;
+    this.promptTokensQueued = promptTokensQueued;
+    this.account = account;
+    this.clock = clock;
+  }
+
+  @Override
+  public EngineId engine() {
+    return engine;
+  }
+
+  @Override
+  public long engineIncarnation() {
+    return engineIncarnation;
+  }
+
+  @Override
+  public int cachedTokensExpected() {
+    return cachedTokensExpected;
+  }
+
+  @Override
+  public @Nullable EngineId importFrom() {
+    return importFrom;
+  }
+
+  @Override
+  public synchronized void prefilled() {
+    if (released || promptTokensQueued == 0) {
+      return;
+    }
+    account.prefilled(clock.millis(), promptTokensQueued);
+    promptTokensQueued = 0;
+  }
+
+  @Override
+  public void generated(int tokens) {
+    // The load that placement bounds counts requests and queued prompt tokens only.
+  }
+
+  @Override
+  public synchronized void release() {
+    if (released) {
+      return;
+    }
+    released = true;
+    account.remove(clock.millis(), promptTokensQueued);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/RendezvousHashing.java
@@ -0,0 +1,39 @@
+package org.coltsfootvale.core.support;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/**
+ * Weighted rendezvous hashing: each node gets a score for a key, and the highest score wins. Every
+ * process computes the same scores; a node that comes or goes moves only its own keys.
+ */
+public final class RendezvousHashing {
+
+  private static final Hasher64 HASHER = Hashing.komihash5_0();
+  private static final double UNIT = 0x1.0p-53;
+
+  private RendezvousHashing() {}
+
+  /** Returns the 64-bit hash of a text. */
+  public static long hash(CharSequence text) {
+    return HASHER.hashCharsToLong(text);
+  }
+
+  /** Returns the 64-bit hash of a pair of hashes. */
+  public static long combine(long first, long second) {
+    return HASHER.hashLongLongToLong(first, second);
+  }
+
+  /**
+   * Returns the score of a node for a key.
+   *
+   * @param keyHash the hash of the key
+   * @param nodeHash the hash of the node's name
+   * @param weight the node's share of the keys relative to other nodes, more than 0
+   */
+  public static double score(long keyHash, long nodeHash, double weight) {
+    long mixed = HASHER.hashLongLongToLong(keyHash, nodeHash);
+    double uniform = ((mixed >>> 11) + 0.5) * UNIT;
+    return -weight / Math.log(uniform);
+  }
+}
