Add the stand-ins: platform, model engine, plain service

Cause: the daemon, its tests and the demo need something to talk to that speaks the protocols of docs/design/0002-edges.md and can fail on request.

Ruled out: one thread per waiting request (watches and streams wait for minutes); answers that depend on state (a caller could not check them byte by byte).

Change: an HTTP server base with fault switches (outage, delay, lost reply, silent connection, silent or truncated stream, late, crossed, refused, leaving); the platform with compare-and-swap, leases, watches, call counts, rates, weight store and lagging host list; the engine with continuous batching, prefix cache, priorities, cancel, resume, import, late cache events with gaps, lagged load and orders; the plain service that counts its runs. All run as programs of one jar or inside a test.

--- /dev/null
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/TestkitMain.java
@@ -0,0 +1,155 @@
+package org.coltsfootvale.testkit;
+
+import java.time.InstantSource;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.apache.commons.cli.ParseException;
+import org.coltsfootvale.testkit.engine.EngineOptions;
+import org.coltsfootvale.testkit.engine.EngineStandIn;
+import org.coltsfootvale.testkit.platform.PlatformOptions;
+import org.coltsfootvale.testkit.platform.PlatformStandIn;
+import org.coltsfootvale.testkit.service.ServiceStandIn;
+import org.coltsfootvale.testkit.support.StandInServer;
+
+/** Runs one stand-in as a program until it is asked to end. */
+public final class TestkitMain {
+
+  private static final int EXIT_USAGE = 2;
+  private static final List<Logger> LIBRARY_LOGGERS =
+      List.of(Logger.getLogger("io.javalin"), Logger.getLogger("org.eclipse.jetty"));
+  private static final String USAGE =
+      """
+      Usage: testkit platform|engine|service|callers [options]
+        platform --port N [--writes-per-second 400] [--reads-per-second 2000]
+                 [--weight-writes-per-second 2] [--hosts-lag-millis 2000]
+        engine   --port N [--id engine] [--incarnation 1] [--capacity 64] [--batch 16]
+                 [--prefill 8000] [--decode 60] [--cache-tokens 200000]
+                 [--import 100000] [--load-lag-millis 500] [--event-lag-millis 1000]
+                 [--event-gap-every 50] [--fencing true] [--time-scale 1]
+        service  --port N [--id service] [--work-millis 5]
+        callers  --plan FILE --entry http://ip:port[,...]
+      Port 0 takes any free port; the bound one is printed.
+      """;
+
+  private TestkitMain() {}
+
+  /** Runs the program that the first argument names. */
+  public static void main(String[] arguments) throws InterruptedException {
+    quietLibraries();
+    if (arguments.length == 0) {
+      exitWithUsage("a program is missing");
+      return;
+    }
+    String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
+    try {
+      run(arguments[0], rest);
+    } catch (ParseException e) {
+      exitWithUsage(String.valueOf(e.getMessage()));
+    }
+  }
+
+  private static void run(String program, String[] arguments)
+      throws ParseException, InterruptedException {
+    switch (program) {
+      case "platform" -> serve(platform(arguments));
+      case "engine" -> serve(engine(arguments));
+      case "service" -> serve(service(arguments));
+      case "--help", "help" -> System.out.print(USAGE);
+      default -> throw new ParseException("there is no program '" + program + "'");
+    }
+  }
+
+  private static StandInServer platform(String[] arguments) throws ParseException {
+    CommandLineOptions options =
+        new CommandLineOptions(
+            arguments,
+            "port",
+            "writes-per-second",
+            "reads-per-second",
+            "weight-writes-per-second",
+            "hosts-lag-millis");
+    PlatformOptions usual = PlatformOptions.onPort(options.integer("port", 0));
+    return new PlatformStandIn(
+        new PlatformOptions(
+            usual.port(),
+            options.number("writes-per-second", usual.writesPerSecond()),
+            options.number("reads-per-second", usual.readsPerSecond()),
+            options.number("weight-writes-per-second", usual.weightWritesPerSecond()),
+            options.integer("hosts-lag-millis", (int) usual.hostsLagMillis())),
+        InstantSource.system());
+  }
+
+  private static StandInServer engine(String[] arguments) throws ParseException {
+    CommandLineOptions options =
+        new CommandLineOptions(
+            arguments,
+            "port",
+            "id",
+            "incarnation",
+            "capacity",
+            "batch",
+            "prefill",
+            "decode",
+            "cache-tokens",
+            "import",
+            "load-lag-millis",
+            "event-lag-millis",
+            "event-gap-every",
+            "fencing",
+            "time-scale");
+    EngineOptions usual =
+        EngineOptions.of(options.text("id", "engine"), options.integer("port", 0));
+    return new EngineStandIn(
+        new EngineOptions(
+            usual.id(),
+            usual.port(),
+            (long) options.number("incarnation", usual.incarnation()),
+            options.integer("capacity", usual.capacityRequests()),
+            options.integer("batch", usual.batchRequests()),
+            options.number("prefill", usual.prefillTokensPerSecond()),
+            options.number("decode", usual.decodeTokensPerSecond()),
+            (long) options.number("cache-tokens", usual.cacheTokens()),
+            options.number("import", usual.importTokensPerSecond()),
+            (long) options.number("load-lag-millis", usual.loadLagMillis()),
+            (long) options.number("event-lag-millis", usual.eventLagMillis()),
+            options.integer("event-gap-every", usual.eventGapEvery()),
+            options.bool("fencing", usual.checksFencing()),
+            options.number("time-scale", usual.timeScale())),
+        InstantSource.system());
+  }
+
+  private static StandInServer service(String[] arguments) throws ParseException {
+    CommandLineOptions options = new CommandLineOptions(arguments, "port", "id", "work-millis");
+    return new ServiceStandIn(
+        options.text("id", "service"),
+        options.integer("port", 0),
+        options.integer("work-millis", 5));
+  }
+
+  private static void serve(StandInServer server) throws InterruptedException {
+    server.start();
+    System.out.println("listening on " + server.url());
+    CountDownLatch asked = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  server.stop();
+                  asked.countDown();
+                }));
+    asked.await();
+  }
+
+  private static void quietLibraries() {
+    LIBRARY_LOGGERS.forEach(logger -> logger.setLevel(Level.WARNING));
+  }
+
+  private static void exitWithUsage(String problem) {
+    System.err.println(problem);
+    System.err.print(USAGE);
+    System.exit(EXIT_USAGE);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/engine/LoadReports.java
@@ -0,0 +1,41 @@
+package org.coltsfootvale.testkit.engine;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/** Load reports that become visible after a lag. Safe for use by several threads. */
+final class LoadReports {
+
+  private final InstantSource clock;
+  private final long lagMillis;
+  private final NavigableMap<Instant, ObjectNode> reports = new TreeMap<>();
+
+  LoadReports(InstantSource clock, long lagMillis, ObjectNode first) {
+    this.clock = clock;
+    this.lagMillis = lagMillis;
+    reports.put(Instant.EPOCH, first);
+  }
+
+  synchronized void add(ObjectNode report) {
+    reports.put(clock.instant(), report);
+    forgetHidden();
+  }
+
+  /** Returns the newest report that is at least as old as the lag. */
+  synchronized ObjectNode visible() {
+    forgetHidden();
+    return reports.firstEntry().getValue();
+  }
+
+  private void forgetHidden() {
+    Map.Entry<Instant, ObjectNode> visible =
+        reports.floorEntry(clock.instant().minusMillis(lagMillis));
+    if (visible != null) {
+      reports.headMap(visible.getKey(), false).clear();
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/support/Connections.java
@@ -0,0 +1,34 @@
+package org.coltsfootvale.testkit.support;
+
+import io.javalin.http.Context;
+import java.util.Collections;
+import java.util.Set;
+import java.util.WeakHashMap;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Request;
+
+/** Cuts and silences the connections that carry requests. Safe for use by several threads. */
+final class Connections {
+
+  private final Set<EndPoint> silent =
+      Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
+
+  /** Closes the connection of a request without an answer. */
+  static void close(Context ctx) {
+    endPoint(ctx).close();
+  }
+
+  /** Makes the connection of a request silent for good. */
+  void silence(Context ctx) {
+    silent.add(endPoint(ctx));
+  }
+
+  /** Returns whether the connection of a request is silent. */
+  boolean isSilent(Context ctx) {
+    return silent.contains(endPoint(ctx));
+  }
+
+  private static EndPoint endPoint(Context ctx) {
+    return Request.getBaseRequest(ctx.req()).getHttpChannel().getEndPoint();
+  }
+}
--- /dev/null
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/support/StandInServer.java
@@ -0,0 +1,194 @@
+package org.coltsfootvale.testkit.support;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.javalin.Javalin;
+import io.javalin.http.ContentType;
+import io.javalin.http.Context;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.jspecify.annotations.Nullable;
+
+/** An HTTP server on loopback with the fault switches that all stand-ins have. */
+public abstract class StandInServer implements AutoCloseable {
+
+  /** The loopback address that every stand-in listens on. */
+  public static final String HOST = "127.0.0.1";
+
+  private static final int BAD_REQUEST = 400;
+  private static final int BODY_BYTES_MAX = 16 << 20;
+  private static final int HTTP_THREADS_MAX = 24;
+  private static final int WRITER_THREADS = 4;
+  private static final String FAULTS_PATH = "/faults";
+
+  private final int requestedPort;
+  private final FaultSwitches faults = new FaultSwitches();
+  private final Connections connections = new Connections();
+  private final ExecutorService writers = Executors.newFixedThreadPool(WRITER_THREADS);
+  private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
+  private @Nullable Javalin app;
+
+  /**
+   * Creates a server that is not yet started.
+   *
+   * @param port the port to listen on, 0 for any free one
+   */
+  protected StandInServer(int port) {
+    this.requestedPort = port;
+  }
+
+  /** Adds the stand-in's own routes. */
+  protected abstract void addRoutes(Javalin server);
+
+  /** Starts what the stand-in runs beside its routes; does nothing by default. */
+  protected void onStart() {}
+
+  /** Releases what the stand-in runs beside its routes; does nothing by default. */
+  protected void onStop() {}
+
+  /** Tells that the switches have changed; does nothing by default. */
+  protected void onFaultsChanged() {}
+
+  /** Returns whether a lost reply may strike the request; by default any request. */
+  protected boolean canLoseReply(Context ctx) {
+    return true;
+  }
+
+  /** Starts to listen. */
+  public final void start() {
+    Javalin server =
+        Javalin.create(
+            config -> {
+              config.showJavalinBanner = false;
+              config.http.disableCompression();
+              config.http.maxRequestSize = BODY_BYTES_MAX;
+              config.jetty.threadPool = new QueuedThreadPool(HTTP_THREADS_MAX);
+              config.jetty.defaultHost = HOST;
+            });
+    server.get(FAULTS_PATH, ctx -> json(ctx, faults.toJson()));
+    server.post(FAULTS_PATH, this::updateFaults);
+    server.delete(FAULTS_PATH, this::clearFaults);
+    server.get("/health", ctx -> ctx.result("ok"));
+    server.before(this::applyFaults);
+    server.after(this::loseReply);
+    server.exception(IllegalArgumentException.class, (e, ctx) -> badRequest(ctx, e));
+    addRoutes(server);
+    server.start(requestedPort);
+    app = server;
+    onStart();
+  }
+
+  /** Stops to listen and ends the threads; does nothing if not started. */
+  public final void stop() {
+    timers.shutdownNow();
+    Javalin server = app;
+    if (server != null) {
+      server.stop();
+      app = null;
+    }
+    writers.shutdownNow();
+    onStop();
+  }
+
+  @Override
+  public final void close() {
+    stop();
+  }
+
+  /** Returns the port the server listens on. */
+  public final int port() {
+    Javalin server = app;
+    if (server == null) {
+      throw new IllegalStateException("the stand-in is not started; call start() first");
+    }
+    return server.port();
+  }
+
+  /** Returns the base address without a trailing slash. */
+  public final String url() {
+    return "http://" + HOST + ":" + port();
+  }
+
+  /** Returns the fault switches. */
+  public final FaultSwitches faults() {
+    return faults;
+  }
+
+  /** Returns the executor that writes streams. */
+  protected final ExecutorService writers() {
+    return writers;
+  }
+
+  /** Returns the timers. */
+  protected final ScheduledExecutorService timers() {
+    return timers;
+  }
+
+  /** Answers with JSON. */
+  protected static void json(Context ctx, JsonNode body) {
+    ctx.contentType(ContentType.APPLICATION_JSON).result(Json.write(body));
+  }
+
+  /** Closes the connection of a request without an answer. */
+  protected static void closeConnection(Context ctx) {
+    Connections.close(ctx);
+  }
+
+  /** Returns a future that completes after a time in milliseconds. */
+  protected final CompletableFuture<Void> after(long millis) {
+    CompletableFuture<Void> future = new CompletableFuture<>();
+    timers.schedule(() -> future.complete(null), millis, TimeUnit.MILLISECONDS);
+    return future;
+  }
+
+  private static void badRequest(Context ctx, IllegalArgumentException e) {
+    json(ctx.status(BAD_REQUEST), Json.object().put("error", String.valueOf(e.getMessage())));
+  }
+
+  private void updateFaults(Context ctx) {
+    faults.update(Json.parseObject(ctx.body()));
+    onFaultsChanged();
+    json(ctx, faults.toJson());
+  }
+
+  private void clearFaults(Context ctx) {
+    faults.clear();
+    onFaultsChanged();
+    json(ctx, faults.toJson());
+  }
+
+  private void applyFaults(Context ctx) {
+    if (isControl(ctx)) {
+      return;
+    }
+    if (connections.isSilent(ctx) || faults.take(Fault.SILENT)) {
+      connections.silence(ctx);
+      ctx.future(CompletableFuture<Void>::new);
+    } else if (faults.outage()) {
+      closeConnection(ctx);
+      ctx.skipRemainingHandlers();
+    } else {
+      delay(ctx);
+    }
+  }
+
+  private void delay(Context ctx) {
+    long millis = faults.delayMillis();
+    if (millis > 0) {
+      ctx.future(() -> after(millis));
+    }
+  }
+
+  private void loseReply(Context ctx) {
+    if (!isControl(ctx) && canLoseReply(ctx) && faults.take(Fault.REPLY_LOST)) {
+      closeConnection(ctx);
+    }
+  }
+
+  private static boolean isControl(Context ctx) {
+    return ctx.path().equals(FAULTS_PATH) || ctx.path().equals("/counts");
+  }
+}
