--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/error/ErrorKind.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/error/ErrorKind.java
@@ -15,6 +15,8 @@
   IN_PROGRESS(
       409, "The first request with this key still runs; ask again with the same key later."),
   KEY_EXPIRED(410, "Ask GET /v1/entry for a new key prefix."),
+  ANSWER_NOT_KEPT(
+      410, "The request has run once and its answer is gone; read the result at the service."),
   BODY_TOO_LARGE(413, "Send a smaller body."),
   INVALID_NOTE(422, "Correct the note as the detail says and submit it again."),
   ORGANISATION_LIMIT(
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/ReleaseLog.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/ReleaseLog.java
@@ -35,6 +35,12 @@
   /** Reads new revisions from the platform; returns the newest applied one. */
   CompletableFuture<Long> refresh();
 
+  /**
+   * Records the newest revision that a peer says it has applied. A starting router is not ready
+   * below the highest one heard.
+   */
+  default void onPeerRevision(long revision) {}
+
   /** Applies notes received from a peer; ignores those already applied or out of order. */
   void applyFromPeer(List<AcceptedNote> notes);
 
