--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/NoteFaults.java
@@ -0,0 +1,123 @@
+package org.coltsfootvale.core.release;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.exc.InvalidFormatException;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.exc.ValueInstantiationException;
+import java.util.Collection;
+import java.util.List;
+import java.util.TreeSet;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.error.Outcome;
+import org.jspecify.annotations.Nullable;
+
+/** Words the parser's failures with the line, the field and the remedy. */
+final class NoteFaults {
+
+  private NoteFaults() {}
+
+  /** Returns an error of kind INVALID_NOTE. */
+  static ColtsfootvaleException invalid(String detail, @Nullable Throwable cause) {
+    return new ColtsfootvaleException(ErrorKind.INVALID_NOTE, Outcome.NOT_RUN, detail, null, cause);
+  }
+
+  /** Returns one sentence with the line, the field and what to write instead. */
+  static String describe(JsonProcessingException failure, String yaml) {
+    return describeAt(failure, line(failure, yaml) + field(failure));
+  }
+
+  /** Returns one sentence with the field and what is wrong with it. */
+  static String describe(JsonProcessingException failure) {
+    return describeAt(failure, field(failure));
+  }
+
+  private static String describeAt(JsonProcessingException failure, String place) {
+    if (failure instanceof UnrecognizedPropertyException unknown) {
+      return place + " is not known; known here are: " + known(unknown) + ".";
+    }
+    if (failure instanceof ValueInstantiationException rejected) {
+      Throwable cause = rejected.getCause();
+      String reason = cause == null ? null : cause.getMessage();
+      return place + ": " + (reason == null ? "a value is missing; write one." : reason);
+    }
+    if (failure instanceof InvalidFormatException format) {
+      return place
+          + ": '"
+          + format.getValue()
+          + "' is not a "
+          + typeName(format.getTargetType())
+          + "; "
+          + remedyFor(format.getTargetType());
+    }
+    if (failure instanceof MismatchedInputException mismatch) {
+      return place + ": " + firstLine(mismatch) + "; " + remedyFor(mismatch.getTargetType());
+    }
+    return place + ": " + firstLine(failure) + "; correct the YAML.";
+  }
+
+  private static String line(JsonProcessingException failure, String yaml) {
+    if (failure instanceof JsonMappingException mapping && !mapping.getPath().isEmpty()) {
+      return "Line " + new YamlLines(yaml).lineOf(mapping.getPath()) + ", ";
+    }
+    JsonLocation location = failure.getLocation();
+    return location == null ? "" : "Line " + location.getLineNr() + ", ";
+  }
+
+  private static String field(JsonProcessingException failure) {
+    if (!(failure instanceof JsonMappingException mapping) || mapping.getPath().isEmpty()) {
+      return "the note";
+    }
+    return "field '" + path(mapping.getPath()) + "'";
+  }
+
+  private static String path(List<JsonMappingException.Reference> references) {
+    StringBuilder path = new StringBuilder();
+    for (JsonMappingException.Reference reference : references) {
+      if (reference.getFieldName() == null) {
+        path.append('[').append(reference.getIndex()).append(']');
+        continue;
+      }
+      if (path.length() > 0) {
+        path.append('.');
+      }
+      path.append(reference.getFieldName());
+    }
+    return path.toString();
+  }
+
+  private static String known(UnrecognizedPropertyException failure) {
+    Collection<Object> ids = failure.getKnownPropertyIds();
+    TreeSet<String> names = new TreeSet<>();
+    if (ids != null) {
+      ids.forEach(id -> names.add(String.valueOf(id)));
+    }
+    return String.join(", ", names);
+  }
+
+  private static String typeName(@Nullable Class<?> type) {
+    if (type == null) {
+      return "valid value";
+    }
+    return type.isPrimitive() || Number.class.isAssignableFrom(type) ? "number" : "valid value";
+  }
+
+  private static String remedyFor(@Nullable Class<?> type) {
+    if (type != null && type.isPrimitive() && type != boolean.class) {
+      return "write a plain number, the unit is part of the field's name.";
+    }
+    if (type == boolean.class) {
+      return "write true or false.";
+    }
+    return "see the release notes page for the form.";
+  }
+
+  private static String firstLine(JsonProcessingException failure) {
+    String message = failure.getOriginalMessage();
+    int end = message.indexOf('\n');
+    return end < 0 ? message : message.substring(0, end);
+  }
+}
