Run a key only at its home or at the router that has claimed it

Cause: a request that must not be repeated needs one place that decides. Ruled out: taking over a claim found under this router's own name without knowing the attempt that wrote it (a forgotten run would run again); judging expiry where the key is parsed (only the home knows whether it ran, so an expired key is answered by its home as unknown, not as not run). Conclusion: ready to be wired into the daemon.

--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/DefaultOnceRegistry.java
@@ -0,0 +1,331 @@
+package org.coltsfootvale.core.once;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import java.util.stream.Stream;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.error.Failures;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.platform.KeyValueStore;
+import org.coltsfootvale.core.platform.PlatformException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs each key at its home, or at the router that has claimed it, and nowhere else. Keeps what
+ * became of a key in bounded memory until the key expires. State lies in shards, each under its own
+ * lock; no call is made to the platform or to a completion under a lock.
+ */
+public final class DefaultOnceRegistry implements OnceRegistry {
+
+  private static final int SHARDS = 64;
+  private static final Duration FULL_RETRY_AFTER = Duration.ofSeconds(5);
+
+  private final RouterIncarnation self;
+  private final HomeDirectory homes;
+  private final ClaimStore claims;
+  private final InstantSource clock;
+  private final LongSupplier monotonicNanos;
+  private final OnceLimits limits;
+  private final List<KeyShard> shards;
+  private final AtomicLong attempts = new AtomicLong();
+
+  /**
+   * Creates an empty registry.
+   *
+   * @param self the home that this registry is the memory of
+   * @param homes tells which other homes may still be running
+   * @param store the platform's service, which holds the claims
+   * @param clock the wall clock, by which key prefixes expire
+   * @param monotonicNanos a clock that is never set, by which claims end
+   * @param limits the bounds of the memory
+   */
+  public DefaultOnceRegistry(
+      RouterIncarnation self,
+      HomeDirectory homes,
+      KeyValueStore store,
+      InstantSource clock,
+      LongSupplier monotonicNanos,
+      OnceLimits limits) {
+    this.self = self;
+    this.homes = homes;
+    this.claims = new PlatformClaimStore(self, store, monotonicNanos, limits.claimLifetime());
+    this.clock = clock;
+    this.monotonicNanos = monotonicNanos;
+    this.limits = limits;
+    int keysPerShard = Math.max(1, limits.keysMax() / SHARDS);
+    long bytesPerShard = limits.storedBytesMax() / SHARDS;
+    this.shards =
+        Stream.generate(() -> new KeyShard(keysPerShard, bytesPerShard)).limit(SHARDS).toList();
+  }
+
+  @Override
+  public OnceDecision begin(IdempotencyKey key, long fingerprint) {
+    RouterIncarnation home = key.home();
+    if (home == null) {
+      return beginClaimed(key, fingerprint);
+    }
+    if (home.equals(self)) {
+      return beginAtHome(key, fingerprint);
+    }
+    return forward(home);
+  }
+
+  @Override
+  public int size() {
+    int size = 0;
+    for (KeyShard shard : shards) {
+      synchronized (shard) {
+        size += shard.size();
+      }
+    }
+    return size;
+  }
+
+  private OnceDecision forward(RouterIncarnation owner) {
+    if (homes.mayBeRunning(owner)) {
+      return new OnceDecision.Forward(owner);
+    }
+    throw ColtsfootvaleException.unknown(
+        ErrorKind.HOME_LOST,
+        "The router " + owner + ", the only one that may run this key, is gone.");
+  }
+
+  private OnceDecision beginAtHome(IdempotencyKey key, long fingerprint) {
+    KeyEntry.Id id = new KeyEntry.Id(key.organisation(), key.text());
+    KeyShard shard = shard(id);
+    synchronized (shard) {
+      Instant now = shard.advance(clock.instant());
+      KeyEntry entry = shard.find(id);
+      if (entry != null) {
+        checkFingerprint(entry.fingerprint, fingerprint);
+        return attach(entry);
+      }
+      if (!key.expiresAt().isAfter(now)) {
+        throw ColtsfootvaleException.unknown(
+            ErrorKind.KEY_EXPIRED,
+            "The key's prefix expired at "
+                + key.expiresAt()
+                + "; if the key was used before, what became of it is forgotten.");
+      }
+      return run(newEntry(shard, id, fingerprint, key.expiresAt()));
+    }
+  }
+
+  private OnceDecision beginClaimed(IdempotencyKey key, long fingerprint) {
+    KeyEntry.Id id = new KeyEntry.Id(key.organisation(), key.text());
+    KeyShard shard = shard(id);
+    KeyEntry entry;
+    synchronized (shard) {
+      Instant now = shard.advance(clock.instant());
+      KeyEntry found = shard.find(id);
+      if (found != null) {
+        checkFingerprint(found.fingerprint, fingerprint);
+        if (found.state == KeyEntry.State.IDLE && claimLapsed(found)) {
+          shard.remove(found);
+          found = null;
+        }
+      }
+      if (found != null && found.state != KeyEntry.State.UNCERTAIN) {
+        return resume(found);
+      }
+      entry = found == null ? newEntry(shard, id, fingerprint, now.plus(claimMemory())) : found;
+      entry.state = KeyEntry.State.CLAIMING;
+      entry.claim = new CompletableFuture<>();
+    }
+    return claim(key, shard, entry);
+  }
+
+  private OnceDecision claim(IdempotencyKey key, KeyShard shard, KeyEntry entry) {
+    CompletableFuture<OnceDecision> decision = entry.claim;
+    claims
+        .claim(key, entry.fingerprint, entry.attempt)
+        .thenApply(claim -> decide(shard, entry, claim))
+        .whenComplete((result, failure) -> endClaim(shard, entry, decision, result, failure));
+    return new OnceDecision.Claim(decision);
+  }
+
+  private OnceDecision decide(KeyShard shard, KeyEntry entry, ClaimStore.Claim claim) {
+    checkFingerprint(claim.fingerprint(), entry.fingerprint);
+    if (!claim.owner().equals(self)) {
+      return forward(claim.owner());
+    }
+    if (claim.attempt() != entry.attempt) {
+      throw ColtsfootvaleException.unknown(
+          ErrorKind.HOME_LOST,
+          "This router has claimed the key before and has forgotten what became of it.");
+    }
+    synchronized (shard) {
+      Instant now = shard.advance(clock.instant());
+      entry.claimEndsAtNanos = claim.endsAtNanos();
+      shard.extend(entry, now.plus(claimMemory()));
+      return run(entry);
+    }
+  }
+
+  private static void endClaim(
+      KeyShard shard,
+      KeyEntry entry,
+      CompletableFuture<OnceDecision> decision,
+      @Nullable OnceDecision result,
+      @Nullable Throwable failure) {
+    ColtsfootvaleException error = failure == null ? null : Failures.typed(failure);
+    boolean uncertain =
+        error instanceof PlatformException platform && platform.mayHaveTakenEffect();
+    synchronized (shard) {
+      if (uncertain) {
+        entry.state = KeyEntry.State.UNCERTAIN;
+      } else if (!(result instanceof OnceDecision.Run)) {
+        shard.remove(entry);
+      }
+    }
+    if (error != null) {
+      decision.completeExceptionally(error);
+    } else {
+      decision.complete(result);
+    }
+  }
+
+  private OnceDecision resume(KeyEntry entry) {
+    return switch (entry.state) {
+      case IDLE -> run(entry);
+      case CLAIMING -> followClaim(entry);
+      case UNCERTAIN, RUNNING, DONE -> attach(entry);
+    };
+  }
+
+  private static OnceDecision attach(KeyEntry entry) {
+    return new OnceDecision.Attach(entry.answer.copy());
+  }
+
+  private static OnceDecision followClaim(KeyEntry entry) {
+    OnceDecision attached = attach(entry);
+    return new OnceDecision.Claim(
+        entry.claim.thenApply(
+            decision -> decision instanceof OnceDecision.Run ? attached : decision));
+  }
+
+  private boolean claimLapsed(KeyEntry entry) {
+    Long endsAtNanos = entry.claimEndsAtNanos;
+    return endsAtNanos != null
+        && endsAtNanos - monotonicNanos.getAsLong() <= limits.claimMargin().toNanos();
+  }
+
+  private OnceDecision run(KeyEntry entry) {
+    if (entry.answer.isDone()) {
+      entry.answer = new CompletableFuture<>();
+    }
+    entry.state = KeyEntry.State.RUNNING;
+    return new OnceDecision.Run(new ShardedExecution(shard(entry.id), entry));
+  }
+
+  private KeyEntry newEntry(KeyShard shard, KeyEntry.Id id, long fingerprint, Instant expiresAt) {
+    if (shard.full()) {
+      throw ColtsfootvaleException.notRun(
+          ErrorKind.OVERLOADED, "The memory of keys is full.", FULL_RETRY_AFTER);
+    }
+    KeyEntry entry = new KeyEntry(id, fingerprint, attempts.incrementAndGet(), expiresAt);
+    shard.add(entry);
+    return entry;
+  }
+
+  private Duration claimMemory() {
+    return limits.claimLifetime().multipliedBy(2);
+  }
+
+  private KeyShard shard(KeyEntry.Id id) {
+    return shards.get(Math.floorMod(id.hashCode(), SHARDS));
+  }
+
+  private static void checkFingerprint(long known, long given) {
+    if (known != given) {
+      throw ColtsfootvaleException.notRun(
+          ErrorKind.KEY_REUSED, "This key stands for a request with another content.");
+    }
+  }
+
+  /** The run of one key. */
+  private final class ShardedExecution implements OnceDecision.Execution {
+
+    private final KeyShard shard;
+    private final KeyEntry entry;
+    private final CompletableFuture<StoredAnswer> answer;
+    private boolean ended;
+
+    ShardedExecution(KeyShard shard, KeyEntry entry) {
+      this.shard = shard;
+      this.entry = entry;
+      this.answer = entry.answer;
+    }
+
+    @Override
+    public void beforeSend() {
+      synchronized (shard) {
+        if (ended) {
+          throw ColtsfootvaleException.unknown(
+              ErrorKind.INTERNAL, "The run of this key has ended; nothing more is sent for it.");
+        }
+        if (claimLapsed(entry)) {
+          throw ColtsfootvaleException.notRun(
+              ErrorKind.PLATFORM_UNAVAILABLE,
+              "The claim of the key has lapsed before the request could be sent.");
+        }
+      }
+    }
+
+    @Override
+    public void finished(StoredAnswer result) {
+      boolean kept;
+      synchronized (shard) {
+        if (!end(KeyEntry.State.DONE)) {
+          return;
+        }
+        int bytes = result.body().length;
+        kept = bytes <= limits.answerBytesMax() && shard.reserve(entry, bytes);
+        if (!kept) {
+          entry.answer = CompletableFuture.failedFuture(KeyEntry.answerNotKept(result));
+        }
+      }
+      answer.complete(result);
+    }
+
+    @Override
+    public void notRun() {
+      synchronized (shard) {
+        if (!end(KeyEntry.State.IDLE)) {
+          return;
+        }
+        if (entry.claimEndsAtNanos == null) {
+          shard.remove(entry);
+        }
+      }
+      answer.completeExceptionally(
+          ColtsfootvaleException.notRun(
+              ErrorKind.NO_BACKEND, "The request with this key did not run; send it again."));
+    }
+
+    @Override
+    public void unknown(ColtsfootvaleException error) {
+      synchronized (shard) {
+        if (!end(KeyEntry.State.DONE)) {
+          return;
+        }
+      }
+      answer.completeExceptionally(error);
+    }
+
+    private boolean end(KeyEntry.State state) {
+      if (ended) {
+        return false;
+      }
+      ended = true;
+      entry.state = state;
+      return true;
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/OnceLimits.java
@@ -0,0 +1,37 @@
+package org.coltsfootvale.core.once;
+
+import java.time.Duration;
+import org.coltsfootvale.core.support.Checks;
+
+/**
+ * Bounds of the key memory and of claims.
+ *
+ * @param keysMax the greatest number of keys held
+ * @param storedBytesMax the greatest sum of stored answers in bytes
+ * @param answerBytesMax the largest answer that is stored; of a larger one only the outcome is
+ * @param claimLifetime how long a claim lasts at least; callers must not send a key without a home
+ *     again later than this after its first use
+ * @param claimMargin how long before its claim's end a router stops sending
+ */
+public record OnceLimits(
+    int keysMax,
+    long storedBytesMax,
+    int answerBytesMax,
+    Duration claimLifetime,
+    Duration claimMargin) {
+
+  /** The bounds for a process of 128 MB. */
+  public static final OnceLimits DEFAULT =
+      new OnceLimits(
+          50_000, 16L * 1024 * 1024, 64 * 1024, Duration.ofMinutes(15), Duration.ofSeconds(10));
+
+  /** Checks the bounds. */
+  public OnceLimits {
+    Checks.argument(keysMax >= 1, "keysMax must be at least 1, but is %d", keysMax);
+    Checks.argument(
+        claimMargin.compareTo(claimLifetime) < 0,
+        "claimMargin %s must be shorter than claimLifetime %s",
+        claimMargin,
+        claimLifetime);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/PlatformClaimStore.java
@@ -0,0 +1,204 @@
+package org.coltsfootvale.core.once;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.error.Failures;
+import org.coltsfootvale.core.error.Outcome;
+import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.platform.KeyValue;
+import org.coltsfootvale.core.platform.KeyValueStore;
+import org.coltsfootvale.core.platform.PlatformException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Claims in the platform's key-value service: a key is created if absent, bound to a lease that is
+ * never renewed. One lease carries all claims of a time slot, so that a claim costs a single write.
+ */
+final class PlatformClaimStore implements ClaimStore {
+
+  /** The prefix of the keys of claims. */
+  static final String CLAIMS_PREFIX = "coltsfootvale/claims/";
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+  private static final int LEASE_SLOTS_PER_LIFETIME = 8;
+  private static final int TRIES_MAX = 3;
+
+  private final RouterIncarnation self;
+  private final KeyValueStore store;
+  private final LongSupplier monotonicNanos;
+  private final Duration claimLifetime;
+  private final ObjectMapper mapper = JsonMapper.builder().build();
+  private final Object lock = new Object();
+  private @Nullable CompletableFuture<Lease> currentLease;
+  private long leaseAskedNanos;
+
+  PlatformClaimStore(
+      RouterIncarnation self,
+      KeyValueStore store,
+      LongSupplier monotonicNanos,
+      Duration claimLifetime) {
+    this.self = self;
+    this.store = store;
+    this.monotonicNanos = monotonicNanos;
+    this.claimLifetime = claimLifetime;
+  }
+
+  @Override
+  public CompletableFuture<Claim> claim(IdempotencyKey key, long fingerprint, long attempt) {
+    String path = path(key);
+    return lease()
+        .thenCompose(
+            lease ->
+                create(
+                    path,
+                    lease,
+                    new Claim(self, attempt, fingerprint, lease.endsAtNanos()),
+                    TRIES_MAX));
+  }
+
+  private CompletableFuture<Claim> create(String path, Lease lease, Claim wanted, int triesLeft) {
+    return store
+        .createIfAbsent(path, write(wanted), lease.id())
+        .handle((created, failure) -> settle(path, lease, wanted, triesLeft, created, failure))
+        .thenCompose(next -> next);
+  }
+
+  private CompletableFuture<Claim> settle(
+      String path,
+      Lease lease,
+      Claim wanted,
+      int triesLeft,
+      @Nullable OptionalLong created,
+      @Nullable Throwable failure) {
+    if (created != null && created.isPresent()) {
+      return CompletableFuture.completedFuture(wanted);
+    }
+    if (failure != null && !mayHaveTakenEffect(failure)) {
+      forgetLease();
+      return CompletableFuture.failedFuture(unavailable(failure, false));
+    }
+    return store
+        .get(path)
+        .exceptionallyCompose(e -> CompletableFuture.failedFuture(unavailable(e, true)))
+        .thenCompose(found -> found(path, lease, wanted, triesLeft, found));
+  }
+
+  private CompletableFuture<Claim> found(
+      String path, Lease lease, Claim wanted, int triesLeft, Optional<KeyValue> found) {
+    if (found.isPresent()) {
+      return CompletableFuture.completedFuture(read(found.get()));
+    }
+    if (triesLeft <= 1) {
+      return CompletableFuture.failedFuture(
+          unavailable(new PlatformException("no reply to the claim", true, null), true));
+    }
+    return create(path, lease, wanted, triesLeft - 1);
+  }
+
+  private CompletableFuture<Lease> lease() {
+    synchronized (lock) {
+      long now = monotonicNanos.getAsLong();
+      long slotNanos = claimLifetime.toNanos() / LEASE_SLOTS_PER_LIFETIME;
+      CompletableFuture<Lease> lease = currentLease;
+      if (lease != null && !lease.isCompletedExceptionally() && now - leaseAskedNanos < slotNanos) {
+        return lease;
+      }
+      Duration timeToLive = claimLifetime.plusNanos(slotNanos);
+      CompletableFuture<Lease> granted =
+          store
+              .grantLease(timeToLive)
+              .thenApply(id -> new Lease(id, now + timeToLive.toNanos()))
+              .exceptionallyCompose(e -> CompletableFuture.failedFuture(unavailable(e, false)));
+      leaseAskedNanos = now;
+      currentLease = granted;
+      return granted;
+    }
+  }
+
+  private void forgetLease() {
+    synchronized (lock) {
+      currentLease = null;
+    }
+  }
+
+  private static String path(IdempotencyKey key) {
+    byte[] text = key.text().getBytes(StandardCharsets.UTF_8);
+    return CLAIMS_PREFIX + key.organisation() + "/" + HexFormat.of().formatHex(sha256(text));
+  }
+
+  private static byte[] sha256(byte[] bytes) {
+    try {
+      return MessageDigest.getInstance("SHA-256").digest(bytes);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("SHA-256 is part of every Java runtime", e);
+    }
+  }
+
+  private byte[] write(Claim claim) {
+    RouterIncarnation owner = claim.owner();
+    try {
+      return mapper.writeValueAsBytes(
+          new StoredClaim(
+              owner.id().value(),
+              owner.number(),
+              claim.attempt(),
+              claim.fingerprint(),
+              claim.endsAtNanos()));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a claim can always be written", e);
+    }
+  }
+
+  private Claim read(KeyValue entry) {
+    try {
+      StoredClaim stored = mapper.readValue(entry.value(), StoredClaim.class);
+      return new Claim(
+          new RouterIncarnation(new RouterId(stored.router()), stored.incarnation()),
+          stored.attempt(),
+          stored.fingerprint(),
+          stored.endsAtNanos());
+    } catch (IOException e) {
+      throw new ColtsfootvaleException(
+          ErrorKind.INTERNAL,
+          Outcome.UNKNOWN,
+          "The claim " + entry.key() + " cannot be read.",
+          null,
+          e);
+    }
+  }
+
+  private static boolean mayHaveTakenEffect(Throwable failure) {
+    return Failures.unwrap(failure) instanceof PlatformException platform
+        && platform.mayHaveTakenEffect();
+  }
+
+  private static PlatformException unavailable(Throwable failure, boolean mayHaveTakenEffect) {
+    return new PlatformException(
+        "The key could not be claimed, so the request was not sent; ask again with the same key in "
+            + RETRY_AFTER.toSeconds()
+            + " s, or use a key with a prefix, which needs no claim.",
+        mayHaveTakenEffect,
+        Failures.unwrap(failure));
+  }
+
+  /** A lease that carries the claims of one time slot. */
+  private record Lease(long id, long endsAtNanos) {}
+
+  /** The stored form of a claim. */
+  private record StoredClaim(
+      String router, long incarnation, long attempt, long fingerprint, long endsAtNanos) {}
+}
--- /dev/null
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
@@ -0,0 +1,233 @@
+package org.coltsfootvale.core.once;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.error.Failures;
+import org.coltsfootvale.core.error.Outcome;
+import org.coltsfootvale.core.model.OrganisationId;
+import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.replay.ScriptedKeyValueStore;
+import org.coltsfootvale.core.replay.ScriptedKeyValueStore.Fault;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class DefaultOnceRegistryTest {
+
+  private static final OrganisationId RESERVE = new OrganisationId("reserve");
+  private static final RouterIncarnation ROUTER_A = incarnation("a", 1);
+  private static final RouterIncarnation ROUTER_B = incarnation("b", 1);
+  private static final Duration LIFETIME = Duration.ofMinutes(15);
+  private static final StoredAnswer ANSWER = new StoredAnswer(200, Map.of(), new byte[] {1});
+
+  private Instant now = Instant.ofEpochSecond(1_000_000);
+  private long monotonicNanos;
+  private ScriptedKeyValueStore store = new ScriptedKeyValueStore();
+  private final Set<RouterIncarnation> gone = new HashSet<>();
+  private final DefaultKeyPrefixes prefixes =
+      new DefaultKeyPrefixes(List.of(new byte[16]), LIFETIME, () -> now, () -> 42L);
+
+  @BeforeMethod
+  public void startAnew() {
+    store = new ScriptedKeyValueStore();
+    gone.clear();
+  }
+
+  @Test
+  public void aKeyRunsOnceAtItsHomeAndRepeatsAttach() {
+    DefaultOnceRegistry home = registry(ROUTER_A);
+    IdempotencyKey key = homedKey(ROUTER_A, 1);
+    OnceDecision.Execution run = run(home.begin(key, 7));
+    OnceDecision.Attach repeat = (OnceDecision.Attach) home.begin(key, 7);
+    assertFalse(repeat.answer().isDone());
+    run.finished(ANSWER);
+    assertSame(repeat.answer().join(), ANSWER);
+    assertSame(((OnceDecision.Attach) home.begin(key, 7)).answer().join(), ANSWER);
+  }
+
+  @Test
+  public void anotherRouterForwardsToALiveHome() {
+    OnceDecision decision = registry(ROUTER_B).begin(homedKey(ROUTER_A, 1), 7);
+    assertEquals(decision, new OnceDecision.Forward(ROUTER_A));
+  }
+
+  @Test
+  public void aLostHomeMakesTheOutcomeUnknown() {
+    gone.add(ROUTER_A);
+    assertRefused(registry(ROUTER_B), homedKey(ROUTER_A, 1), ErrorKind.HOME_LOST, Outcome.UNKNOWN);
+  }
+
+  @Test
+  public void aRestartedHomeDoesNotRunTheKeysOfItsEarlierRun() {
+    gone.add(ROUTER_A);
+    DefaultOnceRegistry restarted = registry(incarnation("a", 2));
+    assertRefused(restarted, homedKey(ROUTER_A, 1), ErrorKind.HOME_LOST, Outcome.UNKNOWN);
+  }
+
+  @Test
+  public void aKeyThatDidNotRunMayRunAgain() {
+    DefaultOnceRegistry home = registry(ROUTER_A);
+    IdempotencyKey key = homedKey(ROUTER_A, 1);
+    run(home.begin(key, 7)).notRun();
+    run(home.begin(key, 7)).finished(ANSWER);
+    assertTrue(home.begin(key, 7) instanceof OnceDecision.Attach);
+  }
+
+  @Test
+  public void anUnknownOutcomeStaysUnknown() {
+    DefaultOnceRegistry home = registry(ROUTER_A);
+    IdempotencyKey key = homedKey(ROUTER_A, 1);
+    OnceDecision.Execution run = run(home.begin(key, 7));
+    run.unknown(ColtsfootvaleException.unknown(ErrorKind.BACKEND_FAILED, "cut"));
+    run.notRun();
+    OnceDecision.Attach repeat = (OnceDecision.Attach) home.begin(key, 7);
+    assertTrue(repeat.answer().isCompletedExceptionally());
+    assertEquals(
+        expectThrows(ColtsfootvaleException.class, run::beforeSend).outcome(), Outcome.UNKNOWN);
+  }
+
+  @Test
+  public void anExpiredKeyIsNeverRunEvenIfTheClockGoesBack() {
+    DefaultOnceRegistry home = registry(ROUTER_A);
+    IdempotencyKey key = homedKey(ROUTER_A, 1);
+    run(home.begin(key, 7)).finished(ANSWER);
+    Instant before = now;
+    now = key.expiresAt();
+    home.begin(homedKey(ROUTER_A, 1), 7);
+    assertRefused(home, key, ErrorKind.KEY_EXPIRED, Outcome.UNKNOWN);
+    now = before;
+    assertRefused(home, key, ErrorKind.KEY_EXPIRED, Outcome.UNKNOWN);
+  }
+
+  @Test
+  public void aReusedKeyIsRefused() {
+    DefaultOnceRegistry home = registry(ROUTER_A);
+    home.begin(homedKey(ROUTER_A, 1), 7);
+    ColtsfootvaleException e =
+        expectThrows(ColtsfootvaleException.class, () -> home.begin(homedKey(ROUTER_A, 1), 8));
+    assertEquals(e.kind(), ErrorKind.KEY_REUSED);
+  }
+
+  @Test
+  public void aKeyWithoutHomeRunsOnlyWhereItIsClaimed() {
+    DefaultOnceRegistry first = registry(ROUTER_A);
+    DefaultOnceRegistry second = registry(ROUTER_B);
+    OnceDecision.Execution run = run(claimed(first.begin(plainKey(), 7)));
+    run.beforeSend();
+    assertEquals(claimed(second.begin(plainKey(), 7)), new OnceDecision.Forward(ROUTER_A));
+    gone.add(ROUTER_A);
+    CompletionException e =
+        expectThrows(CompletionException.class, () -> claimed(second.begin(plainKey(), 7)));
+    assertEquals(Failures.typed(e).outcome(), Outcome.UNKNOWN);
+  }
+
+  @Test
+  public void aLostReplyToAClaimIsSettledByReadingBack() {
+    DefaultOnceRegistry router = registry(ROUTER_A);
+    claimed(router.begin(prefixes.parse(RESERVE, "warm-up"), 1));
+    store.loseReplies(1);
+    run(claimed(router.begin(plainKey(), 7))).beforeSend();
+  }
+
+  @Test
+  public void anUncertainClaimIsTakenUpAgainByTheSameRouter() {
+    DefaultOnceRegistry router = registry(ROUTER_A);
+    claimed(router.begin(prefixes.parse(RESERVE, "warm-up"), 1));
+    store.setFault(Fault.HOLD_REPLIES);
+    store.loseReplies(1);
+    OnceDecision.Claim uncertain = (OnceDecision.Claim) router.begin(plainKey(), 7);
+    store.setFault(Fault.OUTAGE);
+    store.releaseHeld();
+    assertTrue(uncertain.decision().isCompletedExceptionally());
+    store.setFault(Fault.NONE);
+    run(claimed(router.begin(plainKey(), 7))).beforeSend();
+  }
+
+  @Test
+  public void aRouterPausedBeyondItsClaimDoesNotSend() {
+    DefaultOnceRegistry first = registry(ROUTER_A);
+    OnceDecision.Execution paused = run(claimed(first.begin(plainKey(), 7)));
+    pause(Duration.ofHours(1));
+    run(claimed(registry(ROUTER_B).begin(plainKey(), 7))).beforeSend();
+    assertEquals(
+        expectThrows(ColtsfootvaleException.class, paused::beforeSend).outcome(), Outcome.NOT_RUN);
+  }
+
+  @Test
+  public void anOutageRefusesAKeyWithoutHomeAndNoOther() {
+    DefaultOnceRegistry router = registry(ROUTER_A);
+    store.setFault(Fault.OUTAGE);
+    CompletionException e =
+        expectThrows(CompletionException.class, () -> claimed(router.begin(plainKey(), 7)));
+    assertEquals(Failures.typed(e).outcome(), Outcome.NOT_RUN);
+    run(router.begin(homedKey(ROUTER_A, 1), 7)).beforeSend();
+  }
+
+  @Test
+  public void anAnswerTooLargeToKeepLeavesItsOutcome() {
+    DefaultOnceRegistry home = registry(ROUTER_A);
+    IdempotencyKey key = homedKey(ROUTER_A, 1);
+    int tooLarge = OnceLimits.DEFAULT.answerBytesMax() + 1;
+    run(home.begin(key, 7)).finished(new StoredAnswer(200, Map.of(), new byte[tooLarge]));
+    OnceDecision.Attach repeat = (OnceDecision.Attach) home.begin(key, 7);
+    CompletionException e = expectThrows(CompletionException.class, () -> repeat.answer().join());
+    assertEquals(Failures.typed(e).kind(), ErrorKind.ANSWER_NOT_KEPT);
+  }
+
+  private DefaultOnceRegistry registry(RouterIncarnation self) {
+    return new DefaultOnceRegistry(
+        self,
+        home -> !gone.contains(home),
+        store,
+        () -> now,
+        () -> monotonicNanos,
+        OnceLimits.DEFAULT);
+  }
+
+  private void pause(Duration duration) {
+    now = now.plus(duration);
+    monotonicNanos += duration.toNanos();
+    store.advance(duration);
+  }
+
+  private IdempotencyKey homedKey(RouterIncarnation home, int counter) {
+    return prefixes.parse(RESERVE, prefixes.mint(home) + "." + counter);
+  }
+
+  private IdempotencyKey plainKey() {
+    return prefixes.parse(RESERVE, "crane-2031");
+  }
+
+  private static RouterIncarnation incarnation(String id, long number) {
+    return new RouterIncarnation(new RouterId(id), number);
+  }
+
+  private static OnceDecision claimed(OnceDecision decision) {
+    return ((OnceDecision.Claim) decision).decision().join();
+  }
+
+  private static OnceDecision.Execution run(OnceDecision decision) {
+    return ((OnceDecision.Run) decision).execution();
+  }
+
+  private static void assertRefused(
+      DefaultOnceRegistry registry, IdempotencyKey key, ErrorKind kind, Outcome outcome) {
+    ColtsfootvaleException e =
+        expectThrows(ColtsfootvaleException.class, () -> registry.begin(key, 7));
+    assertEquals(e.kind(), kind);
+    assertEquals(e.outcome(), outcome);
+  }
+}
