--- /dev/null
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/NettyPeerTransport.java
@@ -0,0 +1,266 @@
+package org.coltsfootvale.protocol;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.protocol.wire.Envelope;
+import org.coltsfootvale.protocol.wire.ForwardRequest;
+import org.jspecify.annotations.Nullable;
+
+/** The inner protocol over Netty's NIO transport. */
+public final class NettyPeerTransport implements PeerTransport {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final int THREADS_MAX = 4;
+  private static final int CONNECTIONS_MAX = 4_096;
+  private static final long STOP_TIMEOUT_MILLIS = 2_000;
+
+  private final InetSocketAddress bindAddress;
+  private final TransportContext context;
+  private final Map<HostPort, PeerConnection> connections = new ConcurrentHashMap<>();
+  private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private @Nullable EventLoopGroup loops;
+  private @Nullable Bootstrap client;
+  private @Nullable Channel listening;
+
+  /**
+   * Creates a transport.
+   *
+   * @param self this run of this router
+   * @param bindAddress where peers connect
+   * @param secrets the fleet's shared secrets, the one used for own connections first
+   * @param handler serves the messages of peers
+   * @param options limits and timeouts
+   * @param clock the time
+   */
+  public NettyPeerTransport(
+      RouterIncarnation self,
+      HostPort bindAddress,
+      List<String> secrets,
+      PeerHandler handler,
+      PeerTransportOptions options,
+      InstantSource clock) {
+    this(
+        self,
+        new InetSocketAddress(bindAddress.host(), bindAddress.port()),
+        secrets,
+        handler,
+        options,
+        clock);
+  }
+
+  /** Creates a transport; port 0 takes any free port. */
+  public NettyPeerTransport(
+      RouterIncarnation self,
+      InetSocketAddress bindAddress,
+      List<String> secrets,
+      PeerHandler handler,
+      PeerTransportOptions options,
+      InstantSource clock) {
+    this.bindAddress = bindAddress;
+    this.context =
+        new TransportContext(
+            self, new HandshakeProofs(secrets), handler, options, new TrafficCounters(), clock);
+  }
+
+  @Override
+  public synchronized void start() {
+    if (loops != null) {
+      return;
+    }
+    int threads = Math.min(THREADS_MAX, Runtime.getRuntime().availableProcessors());
+    EventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(
+            threads, new DefaultThreadFactory("peer-transport", true), NioIoHandler.newFactory());
+    loops = group;
+    client = clientBootstrap(group);
+    listening = bind(group);
+    LOGGER.atInfo().log("peers connect to %s", listening.localAddress());
+  }
+
+  @Override
+  public synchronized void stop() {
+    EventLoopGroup group = loops;
+    if (group == null) {
+      return;
+    }
+    loops = null;
+    if (listening != null) {
+      listening.close().awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
+      listening = null;
+    }
+    connections.values().forEach(PeerConnection::stop);
+    connections.clear();
+    accepted.close().awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
+    group
+        .shutdownGracefully(0, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
+  }
+
+  /**
+   * Returns the address that peers connect to.
+   *
+   * @throws IllegalStateException if the transport has not been started
+   */
+  public synchronized HostPort boundAddress() {
+    if (listening == null) {
+      throw new IllegalStateException("start the transport first");
+    }
+    InetSocketAddress address = (InetSocketAddress) listening.localAddress();
+    return new HostPort(address.getAddress().getHostAddress(), address.getPort());
+  }
+
+  @Override
+  public boolean send(HostPort peer, Envelope message) {
+    PeerConnection connection = connection(peer);
+    if (connection == null) {
+      context.counters().messagesDropped.increment();
+      return false;
+    }
+    return connection.offer(new OneWayMessage(message, context.counters()));
+  }
+
+  @Override
+  public CompletableFuture<Envelope> request(HostPort peer, Envelope message, Duration timeout) {
+    PeerConnection connection = connection(peer);
+    CompletableFuture<Envelope> reply = new CompletableFuture<>();
+    if (connection == null) {
+      reply.completeExceptionally(notStarted());
+      return reply;
+    }
+    connection.submit(new PendingRequest(message, reply));
+    var timer =
+        connection
+            .loop()
+            .schedule(
+                () -> reply.completeExceptionally(timedOut(peer, timeout)),
+                timeout.toMillis(),
+                TimeUnit.MILLISECONDS);
+    var unused = reply.whenComplete((envelope, error) -> timer.cancel(false));
+    return reply;
+  }
+
+  @Override
+  public ForwardStream forward(HostPort peer, ForwardRequest request, ForwardListener listener) {
+    PeerConnection connection = connection(peer);
+    if (connection == null) {
+      listener.onFailure(notStarted());
+      return new EndedStream();
+    }
+    OutgoingStream stream = new OutgoingStream(connection.loop(), request, listener);
+    connection.submit(stream);
+    return stream;
+  }
+
+  @Override
+  public TransportCounters counters() {
+    return context.counters().snapshot();
+  }
+
+  private @Nullable PeerConnection connection(HostPort peer) {
+    PeerConnection known = connections.get(peer);
+    if (known != null) {
+      return known;
+    }
+    return openConnection(peer);
+  }
+
+  private synchronized @Nullable PeerConnection openConnection(HostPort peer) {
+    EventLoopGroup group = loops;
+    Bootstrap bootstrap = client;
+    if (group == null || bootstrap == null) {
+      return null;
+    }
+    if (connections.size() >= CONNECTIONS_MAX) {
+      dropUnused();
+    }
+    return connections.computeIfAbsent(
+        peer, address -> new PeerConnection(address, context, bootstrap, group.next()));
+  }
+
+  private void dropUnused() {
+    Instant unusedSince = context.clock().instant().minus(context.options().idle());
+    connections
+        .values()
+        .removeIf(
+            connection -> {
+              boolean unused = connection.usedAt().isBefore(unusedSince);
+              if (unused) {
+                connection.stop();
+              }
+              return unused;
+            });
+  }
+
+  private Bootstrap clientBootstrap(EventLoopGroup group) {
+    int timeoutMillis = Math.toIntExact(context.options().connectTimeout().toMillis());
+    return new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis);
+  }
+
+  private Channel bind(EventLoopGroup group) {
+    ServerBootstrap server =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    accepted.add(channel);
+                    PeerPipeline.beginHandshake(channel.pipeline(), new ServerHandshake(context));
+                  }
+                });
+    return server.bind(bindAddress).syncUninterruptibly().channel();
+  }
+
+  private static ColtsfootvaleException notStarted() {
+    return ColtsfootvaleException.notRun(ErrorKind.SHUTTING_DOWN, "The transport is not running.");
+  }
+
+  private static ColtsfootvaleException timedOut(HostPort peer, Duration timeout) {
+    return ColtsfootvaleException.unknown(
+        ErrorKind.DEADLINE_EXCEEDED, "No reply of " + peer + " within " + timeout + ".");
+  }
+
+  /** A stream that has failed before it began. */
+  private static final class EndedStream implements ForwardStream {
+
+    @Override
+    public void grant(int bytes) {}
+
+    @Override
+    public void cancel() {}
+  }
+}
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/package-info.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/package-info.java
@@ -1,4 +1,4 @@
-/** Module protocol. */
+/** The protocol between router processes: framing, authentication, heartbeats and codecs. */
 @NullMarked
 package org.coltsfootvale.protocol;
 
--- /dev/null
+++ b/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/RecordingPeerHandler.java
@@ -0,0 +1,52 @@
+package org.coltsfootvale.protocol;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.protocol.wire.DemandReport;
+import org.coltsfootvale.protocol.wire.ForwardRequest;
+import org.coltsfootvale.protocol.wire.Gossip;
+import org.coltsfootvale.protocol.wire.NotesReply;
+import org.coltsfootvale.protocol.wire.NotesRequest;
+import org.coltsfootvale.protocol.wire.ShareGrant;
+
+/** Keeps what it is given; refuses requests for notes after revision 99. */
+final class RecordingPeerHandler implements PeerHandler {
+
+  final BlockingQueue<Gossip> gossip = new LinkedBlockingQueue<>();
+  final BlockingQueue<RouterIncarnation> alive = new LinkedBlockingQueue<>();
+  final BlockingQueue<ForwardResponder> forwards = new LinkedBlockingQueue<>();
+  final BlockingQueue<RouterIncarnation> senders = new LinkedBlockingQueue<>();
+
+  @Override
+  public void onGossip(RouterIncarnation from, Gossip message) {
+    senders.add(from);
+    gossip.add(message);
+  }
+
+  @Override
+  public ShareGrant onDemandReport(RouterIncarnation from, DemandReport report) {
+    return ShareGrant.newBuilder().setValidForMillis(report.getDemandsCount()).build();
+  }
+
+  @Override
+  public NotesReply onNotesRequest(RouterIncarnation from, NotesRequest request) {
+    if (request.getAfterRevision() > 99) {
+      throw ColtsfootvaleException.notRun(ErrorKind.NOT_READY, "not there yet");
+    }
+    return NotesReply.newBuilder().setNewestRevision(request.getAfterRevision()).build();
+  }
+
+  @Override
+  public void onForward(
+      RouterIncarnation from, ForwardRequest request, ForwardResponder responder) {
+    forwards.add(responder);
+  }
+
+  @Override
+  public void onPeerAlive(RouterIncarnation peer) {
+    alive.add(peer);
+  }
+}
