--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/orders/IntentLog.java
@@ -0,0 +1,89 @@
+package org.coltsfootvale.core.orders;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.error.Outcome;
+import org.coltsfootvale.core.platform.KeyValue;
+import org.coltsfootvale.core.platform.KeyValueStore;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The intent of one pool in the platform. Only a sender with a higher fencing number, or the same
+ * sender, replaces it; a release revision never goes back.
+ */
+final class IntentLog {
+
+  private static final ObjectMapper MAPPER = JsonMapper.builder().build();
+
+  private final String key;
+  private final KeyValueStore store;
+
+  IntentLog(String key, KeyValueStore store) {
+    this.key = key;
+    this.store = store;
+  }
+
+  /**
+   * Writes an intent.
+   *
+   * @return whether it is the pool's intent now; false if a newer sender or a newer release
+   *     revision has written
+   */
+  CompletableFuture<Boolean> write(OrderIntent intent) {
+    return store.get(key).thenCompose(found -> replace(intent, found));
+  }
+
+  private CompletableFuture<Boolean> replace(OrderIntent intent, Optional<KeyValue> found) {
+    byte[] bytes = bytes(intent);
+    if (found.isEmpty()) {
+      return store
+          .createIfAbsent(key, bytes, KeyValueStore.NO_LEASE)
+          .thenApply(OptionalLong::isPresent);
+    }
+    OrderIntent present = read(found.get());
+    if (present.equals(intent)) {
+      return CompletableFuture.completedFuture(true);
+    }
+    boolean newer =
+        present.fencing() > intent.fencing()
+            || present.releaseRevision() > intent.releaseRevision();
+    if (newer) {
+      return CompletableFuture.completedFuture(false);
+    }
+    return store
+        .compareAndSwap(key, bytes, found.get().modRevision(), KeyValueStore.NO_LEASE)
+        .thenApply(OptionalLong::isPresent);
+  }
+
+  private static byte[] bytes(OrderIntent intent) {
+    try {
+      return MAPPER.writeValueAsBytes(intent);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("an intent can always be written", e);
+    }
+  }
+
+  private static OrderIntent read(KeyValue entry) {
+    try {
+      return MAPPER.readValue(entry.value(), OrderIntent.class);
+    } catch (IOException e) {
+      throw unreadable(entry, e);
+    }
+  }
+
+  private static ColtsfootvaleException unreadable(KeyValue entry, @Nullable Throwable cause) {
+    return new ColtsfootvaleException(
+        ErrorKind.INTERNAL,
+        Outcome.NOT_RUN,
+        "The intent " + entry.key() + " cannot be read; delete the key.",
+        null,
+        cause);
+  }
+}
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replay/ScriptedKeyValueStore.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replay/ScriptedKeyValueStore.java
@@ -31,7 +31,7 @@
   private final Map<Call, Integer> calls = new EnumMap<>(Call.class);
   private final Queue<Runnable> held = new ArrayDeque<>();
   private Fault fault = Fault.NONE;
-  private int lostReplies;
+  private final Map<Call, Integer> lostReplies = new EnumMap<>(Call.class);
   private long revision;
   private long lastLease;
   private long nowNanos;
@@ -44,9 +44,9 @@
     fault = value;
   }
 
-  /** Loses the replies of the next writes, which take effect nevertheless. */
-  public synchronized void loseReplies(int count) {
-    lostReplies = count;
+  /** Loses the replies of the next calls of a kind, which take effect nevertheless. */
+  public synchronized void loseReplies(Call call, int count) {
+    lostReplies.put(call, count);
   }
 
   /** Performs the held calls in their order. */
@@ -226,10 +226,12 @@
     } catch (PlatformException e) {
       return () -> future.completeExceptionally(e);
     }
-    if (call.write && lostReplies > 0) {
-      lostReplies--;
+    int toLose = lostReplies.getOrDefault(call, 0);
+    if (toLose > 0) {
+      lostReplies.put(call, toLose - 1);
       return () ->
-          future.completeExceptionally(new PlatformException("the reply was lost", true, null));
+          future.completeExceptionally(
+              new PlatformException("the reply was lost", call.write, null));
     }
     return () -> future.complete(result);
   }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
@@ -21,6 +21,7 @@
 import org.coltsfootvale.core.model.RouterId;
 import org.coltsfootvale.core.model.RouterIncarnation;
 import org.coltsfootvale.core.replay.ScriptedKeyValueStore;
+import org.coltsfootvale.core.replay.ScriptedKeyValueStore.Call;
 import org.coltsfootvale.core.replay.ScriptedKeyValueStore.Fault;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -138,7 +139,7 @@
   public void aLostReplyToAClaimIsSettledByReadingBack() {
     DefaultOnceRegistry router = registry(ROUTER_A);
     claimed(router.begin(prefixes.parse(RESERVE, "warm-up"), 1));
-    store.loseReplies(1);
+    store.loseReplies(Call.CREATE, 1);
     run(claimed(router.begin(plainKey(), 7))).beforeSend();
   }
 
@@ -147,7 +148,7 @@
     DefaultOnceRegistry router = registry(ROUTER_A);
     claimed(router.begin(prefixes.parse(RESERVE, "warm-up"), 1));
     store.setFault(Fault.HOLD_REPLIES);
-    store.loseReplies(1);
+    store.loseReplies(Call.CREATE, 1);
     OnceDecision.Claim uncertain = (OnceDecision.Claim) router.begin(plainKey(), 7);
     store.setFault(Fault.OUTAGE);
     store.releaseHeld();
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/release/DefaultReleaseLogTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/release/DefaultReleaseLogTest.java
@@ -16,6 +16,7 @@
 import org.coltsfootvale.core.error.Outcome;
 import org.coltsfootvale.core.model.ModelId;
 import org.coltsfootvale.core.replay.ScriptedKeyValueStore;
+import org.coltsfootvale.core.replay.ScriptedKeyValueStore.Call;
 import org.coltsfootvale.core.replay.ScriptedKeyValueStore.Fault;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -41,7 +42,7 @@
   @Test
   public void aLostReplyIsSettledByReadingBack() {
     DefaultReleaseLog log = log();
-    store.loseReplies(1);
+    store.loseReplies(Call.CREATE, 1);
     assertEquals(log.submit(Notes.fleet()).join().revision(), 1);
     assertEquals(store.keys(DefaultReleaseLog.NOTES_PREFIX).size(), 1);
   }
