Measure placement policies beside each other in virtual time

Cause: the policy's aims need figures from the real selector under churn, surges and views that lag and differ.

--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -1,12 +1,29 @@
 package org.coltsfootvale.verify;
 
+import java.util.Arrays;
+import org.coltsfootvale.verify.policy.PolicyCommand;
+
 /** Starts a measurement, a trace replay or a specification check by its name. */
 public final class VerifyMain {
 
+  private static final int EXIT_USAGE = 2;
+
   private VerifyMain() {}
 
   /** Runs the command named by the first argument. */
   public static void main(String[] args) {
-    System.out.println("commands: none yet");
+    System.exit(run(args));
+  }
+
+  private static int run(String[] args) {
+    String command = args.length == 0 ? "" : args[0];
+    String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
+    return switch (command) {
+      case "policy" -> new PolicyCommand(System.out).run(rest);
+      default -> {
+        System.out.println("commands: policy");
+        yield EXIT_USAGE;
+      }
+    };
   }
 }
--- /dev/null
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/BaselineSelector.java
@@ -0,0 +1,130 @@
+package org.coltsfootvale.verify.policy;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.model.EngineId;
+import org.coltsfootvale.core.model.EngineLoad;
+import org.coltsfootvale.core.model.EngineView;
+import org.coltsfootvale.core.model.FleetView;
+import org.coltsfootvale.core.model.Liveness;
+import org.coltsfootvale.core.placement.EngineSelector;
+import org.coltsfootvale.core.placement.PlacementRequest;
+import org.coltsfootvale.core.placement.Reservation;
+import org.coltsfootvale.core.retry.CircuitBreakers;
+import org.jspecify.annotations.Nullable;
+
+/** A selector that is measured for comparison: a rule over the live engines. */
+final class BaselineSelector implements EngineSelector {
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
+
+  private final Supplier<FleetView> view;
+  private final CircuitBreakers circuits;
+  private final InstantSource clock;
+  private final Rule rule;
+  private final Map<EngineId, Deque<Long>> dispatchesMillis = new HashMap<>();
+
+  BaselineSelector(
+      Supplier<FleetView> view, CircuitBreakers circuits, InstantSource clock, Rule rule) {
+    this.view = view;
+    this.circuits = circuits;
+    this.clock = clock;
+    this.rule = rule;
+  }
+
+  @Override
+  public Reservation select(PlacementRequest request) {
+    List<EngineView> live = new ArrayList<>();
+    for (EngineView engine : view.get().engines().values()) {
+      boolean usable = engine.liveness() == Liveness.LIVE;
+      if (usable && !request.excluded().contains(engine.id())) {
+        live.add(engine);
+      }
+    }
+    live.sort(Comparator.comparing(EngineView::id));
+    while (!live.isEmpty()) {
+      EngineView chosen = rule.choose(request, live, this::estimate);
+      if (circuits.tryAcquire(chosen.id().value())) {
+        dispatchesMillis
+            .computeIfAbsent(chosen.id(), id -> new ArrayDeque<>())
+            .addLast(clock.millis());
+        return new BaselineReservation(chosen);
+      }
+      live.remove(chosen);
+    }
+    throw ColtsfootvaleException.notRun(ErrorKind.NO_BACKEND, "no live engine", RETRY_AFTER);
+  }
+
+  /** Returns the newest report and this router's own dispatches since. */
+  private double estimate(EngineView engine) {
+    @Nullable EngineLoad load = engine.load();
+    if (load == null) {
+      return 0;
+    }
+    Deque<Long> dispatches =
+        dispatchesMillis.computeIfAbsent(engine.id(), id -> new ArrayDeque<>());
+    long reportedAtMillis = load.reportedAt().toEpochMilli();
+    while (!dispatches.isEmpty() && dispatches.getFirst() < reportedAtMillis) {
+      dispatches.removeFirst();
+    }
+    return load.outstandingRequests() + dispatches.size();
+  }
+
+  /** A rule of choice. */
+  @FunctionalInterface
+  interface Rule {
+
+    /** Chooses one of the live engines, which are in the order of their ids. */
+    EngineView choose(PlacementRequest request, List<EngineView> live, Estimate estimate);
+  }
+
+  /** An estimate of an engine's outstanding requests. */
+  @FunctionalInterface
+  interface Estimate {
+
+    /** Returns the estimate. */
+    double of(EngineView engine);
+  }
+
+  private record BaselineReservation(EngineView view) implements Reservation {
+
+    @Override
+    public EngineId engine() {
+      return view.id();
+    }
+
+    @Override
+    public long engineIncarnation() {
+      return view.incarnation();
+    }
+
+    @Override
+    public int cachedTokensExpected() {
+      return 0;
+    }
+
+    @Override
+    public @Nullable EngineId importFrom() {
+      return null;
+    }
+
+    @Override
+    public void prefilled() {}
+
+    @Override
+    public void generated(int tokens) {}
+
+    @Override
+    public void release() {}
+  }
+}
--- /dev/null
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/Policies.java
@@ -0,0 +1,137 @@
+package org.coltsfootvale.verify.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.coltsfootvale.core.model.EngineId;
+import org.coltsfootvale.core.model.EngineLoad;
+import org.coltsfootvale.core.model.EngineView;
+import org.coltsfootvale.core.placement.DefaultEngineSelector;
+import org.coltsfootvale.core.placement.PlacementOptions;
+import org.coltsfootvale.core.placement.PlacementRequest;
+import org.coltsfootvale.core.support.RendezvousHashing;
+import org.jspecify.annotations.Nullable;
+
+/** The policies that are measured. */
+final class Policies {
+
+  private static final int RING_POINTS_PER_ENGINE = 50;
+
+  private Policies() {}
+
+  /**
+   * A policy.
+   *
+   * @param name its name in the table
+   * @param factory makes each router's selector
+   * @param hints whether callers hand back the hint of their last answer
+   * @param enforcedByEngine whether engines refuse what exceeds the bound that routers tell them
+   */
+  record Policy(String name, SelectorFactory factory, boolean hints, boolean enforcedByEngine) {}
+
+  /** Returns the baselines. */
+  static List<Policy> baselines(double loadBound) {
+    return List.of(
+        baseline("round robin", seed -> roundRobin(seed)),
+        baseline("least reported", seed -> Policies::leastReported),
+        baseline("two choices", seed -> twoChoices(seed)),
+        baseline("plain rendezvous", seed -> Policies::rendezvous),
+        baseline("bounded ring", seed -> boundedRing(loadBound)));
+  }
+
+  /** Returns the product's own policy. */
+  static Policy own(String name, PlacementOptions options, boolean hints, boolean enforced) {
+    SelectorFactory factory =
+        (state, view, circuits, clock, seed) ->
+            new DefaultEngineSelector(state, view, circuits, clock, options);
+    return new Policy(name, factory, hints, enforced);
+  }
+
+  private static Policy baseline(String name, RuleFactory rules) {
+    SelectorFactory factory =
+        (state, view, circuits, clock, seed) ->
+            new BaselineSelector(view, circuits, clock, rules.create(seed));
+    return new Policy(name, factory, false, false);
+  }
+
+  private static BaselineSelector.Rule roundRobin(long seed) {
+    AtomicInteger next = new AtomicInteger((int) Math.floorMod(seed, 1000L));
+    return (request, live, estimate) ->
+        live.get(Math.floorMod(next.getAndIncrement(), live.size()));
+  }
+
+  private static EngineView leastReported(
+      PlacementRequest request, List<EngineView> live, BaselineSelector.Estimate estimate) {
+    return live.stream().min(Comparator.comparingInt(Policies::reported)).orElseThrow();
+  }
+
+  private static int reported(EngineView engine) {
+    @Nullable EngineLoad load = engine.load();
+    return load == null ? 0 : load.outstandingRequests();
+  }
+
+  private static BaselineSelector.Rule twoChoices(long seed) {
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    return (request, live, estimate) -> {
+      EngineView first = live.get(random.nextInt(live.size()));
+      EngineView second = live.get(random.nextInt(live.size()));
+      return estimate.of(first) <= estimate.of(second) ? first : second;
+    };
+  }
+
+  private static EngineView rendezvous(
+      PlacementRequest request, List<EngineView> live, BaselineSelector.Estimate estimate) {
+    long key = RendezvousHashing.hash(request.chat());
+    return live.stream()
+        .max(Comparator.comparingDouble(engine -> score(key, engine)))
+        .orElseThrow();
+  }
+
+  private static double score(long key, EngineView engine) {
+    return RendezvousHashing.score(key, RendezvousHashing.hash(engine.id().value()), 1);
+  }
+
+  private static BaselineSelector.Rule boundedRing(double loadBound) {
+    Map<List<EngineId>, NavigableMap<Long, EngineId>> rings = new ConcurrentHashMap<>();
+    return (request, live, estimate) -> {
+      List<EngineId> ids = live.stream().map(EngineView::id).toList();
+      NavigableMap<Long, EngineId> ring = rings.computeIfAbsent(ids, Policies::ring);
+      double sum = live.stream().mapToDouble(estimate::of).sum();
+      double bound = Math.ceil(loadBound * (sum + 1) / live.size());
+      long key = RendezvousHashing.hash(request.chat());
+      List<EngineId> walk = new ArrayList<>(ring.tailMap(key).values());
+      walk.addAll(ring.headMap(key).values());
+      for (EngineId id : walk) {
+        EngineView engine = live.get(ids.indexOf(id));
+        if (estimate.of(engine) + 1 <= bound) {
+          return engine;
+        }
+      }
+      return live.get(ids.indexOf(walk.get(0)));
+    };
+  }
+
+  private static NavigableMap<Long, EngineId> ring(List<EngineId> ids) {
+    NavigableMap<Long, EngineId> ring = new TreeMap<>();
+    for (EngineId id : ids) {
+      long hash = RendezvousHashing.hash(id.value());
+      for (int point = 0; point < RING_POINTS_PER_ENGINE; point++) {
+        ring.put(RendezvousHashing.combine(hash, point), id);
+      }
+    }
+    return ring;
+  }
+
+  @FunctionalInterface
+  private interface RuleFactory {
+
+    BaselineSelector.Rule create(long seed);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/SelectorFactory.java
@@ -0,0 +1,21 @@
+package org.coltsfootvale.verify.policy;
+
+import java.time.InstantSource;
+import java.util.function.Supplier;
+import org.coltsfootvale.core.model.FleetView;
+import org.coltsfootvale.core.placement.EngineSelector;
+import org.coltsfootvale.core.release.FleetState;
+import org.coltsfootvale.core.retry.CircuitBreakers;
+
+/** Makes the selector of one router. */
+@FunctionalInterface
+interface SelectorFactory {
+
+  /** Returns a selector over the router's own inputs. */
+  EngineSelector create(
+      Supplier<FleetState> state,
+      Supplier<FleetView> view,
+      CircuitBreakers circuits,
+      InstantSource clock,
+      long seed);
+}
--- /dev/null
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/SkewSampler.java
@@ -0,0 +1,80 @@
+package org.coltsfootvale.verify.policy;
+
+import java.util.Arrays;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+import org.coltsfootvale.core.model.Liveness;
+
+/**
+ * Averages each live engine's outstanding requests over windows of a second and keeps the greatest
+ * as a multiple of the mean. Windows with a mean below four requests are counted apart.
+ */
+final class SkewSampler {
+
+  private static final double SAMPLE_MILLIS = 100;
+  private static final int SAMPLES_PER_WINDOW = 10;
+  private static final double MEAN_MIN = 4;
+  private static final double SCALE = 1000;
+
+  private final List<FakeEngine> engines;
+  private final VirtualTime time;
+  private final Histogram skew = new Histogram(3);
+  private final double[] sums;
+  private final boolean[] liveThroughout;
+  private int samples;
+  private long idleWindows;
+
+  SkewSampler(List<FakeEngine> engines, VirtualTime time) {
+    this.engines = engines;
+    this.time = time;
+    this.sums = new double[engines.size()];
+    this.liveThroughout = new boolean[engines.size()];
+    Arrays.fill(liveThroughout, true);
+    time.schedule(0, this::sample);
+  }
+
+  /** Returns a percentile of the greatest load divided by the mean. */
+  double percentile(double percentile) {
+    return skew.getValueAtPercentile(percentile) / SCALE;
+  }
+
+  /** Returns the share of windows that are not judged. */
+  double idleShare() {
+    return (double) idleWindows / Math.max(1, idleWindows + skew.getTotalCount());
+  }
+
+  private void sample() {
+    for (int i = 0; i < sums.length; i++) {
+      FakeEngine engine = engines.get(i);
+      liveThroughout[i] &= engine.liveness() == Liveness.LIVE;
+      sums[i] += engine.outstandingRequests();
+    }
+    samples++;
+    if (samples == SAMPLES_PER_WINDOW) {
+      closeWindow();
+    }
+    time.schedule(time.now() + SAMPLE_MILLIS, this::sample);
+  }
+
+  private void closeWindow() {
+    double total = 0;
+    double max = 0;
+    int count = 0;
+    for (int i = 0; i < sums.length; i++) {
+      if (liveThroughout[i]) {
+        total += sums[i];
+        max = Math.max(max, sums[i]);
+        count++;
+      }
+    }
+    double mean = total / Math.max(1, count);
+    if (mean < MEAN_MIN * SAMPLES_PER_WINDOW) {
+      idleWindows++;
+    } else {
+      skew.recordValue(Math.round(SCALE * max / mean));
+    }
+    samples = 0;
+    Arrays.fill(sums, 0);
+    Arrays.fill(liveThroughout, true);
+  }
+}
