--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/Reservation.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/Reservation.java
@@ -18,6 +18,14 @@
   /** Returns an engine from which importing the chat's cache is cheaper than prefill, or null. */
   @Nullable EngineId importFrom();
 
+  /**
+   * Returns how many outstanding requests, this one included, the engine may have when it accepts
+   * this one. An engine that is told refuses what exceeds it as not run.
+   */
+  default int outstandingRequestsMax() {
+    return Integer.MAX_VALUE;
+  }
+
   /** Tells that the first token has arrived: the prompt is no longer queued. */
   void prefilled();
 
