--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/DeferredPeerHandler.java
@@ -0,0 +1,52 @@
+package org.coltsfootvale.router.control;
+
+import java.util.function.Supplier;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.protocol.ForwardResponder;
+import org.coltsfootvale.protocol.PeerHandler;
+import org.coltsfootvale.protocol.wire.DemandReport;
+import org.coltsfootvale.protocol.wire.ForwardRequest;
+import org.coltsfootvale.protocol.wire.Gossip;
+import org.coltsfootvale.protocol.wire.NotesReply;
+import org.coltsfootvale.protocol.wire.NotesRequest;
+import org.coltsfootvale.protocol.wire.ShareGrant;
+
+/**
+ * Looks up its target at each message, because the transport and the loops that send through it
+ * need each other.
+ */
+public final class DeferredPeerHandler implements PeerHandler {
+
+  private final Supplier<? extends PeerHandler> target;
+
+  /** Creates a handler whose target is looked up at each message. */
+  public DeferredPeerHandler(Supplier<? extends PeerHandler> target) {
+    this.target = target;
+  }
+
+  @Override
+  public void onGossip(RouterIncarnation from, Gossip message) {
+    target.get().onGossip(from, message);
+  }
+
+  @Override
+  public ShareGrant onDemandReport(RouterIncarnation from, DemandReport report) {
+    return target.get().onDemandReport(from, report);
+  }
+
+  @Override
+  public NotesReply onNotesRequest(RouterIncarnation from, NotesRequest request) {
+    return target.get().onNotesRequest(from, request);
+  }
+
+  @Override
+  public void onForward(
+      RouterIncarnation from, ForwardRequest request, ForwardResponder responder) {
+    target.get().onForward(from, request, responder);
+  }
+
+  @Override
+  public void onPeerAlive(RouterIncarnation peer) {
+    target.get().onPeerAlive(peer);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/logging/package-info.java
@@ -0,0 +1,5 @@
+/** Sets up log lines as text or JSON. */
+@NullMarked
+package org.coltsfootvale.router.logging;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/operator/OperatorAuthenticator.java
@@ -0,0 +1,75 @@
+package org.coltsfootvale.router.operator;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.function.Supplier;
+import org.coltsfootvale.core.error.ColtsfootvaleException;
+import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.release.FleetState;
+import org.coltsfootvale.core.release.OperatorSpec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Checks operators' tokens against the hashes of the release state, and against the bootstrap token
+ * until a release note has added an operator.
+ */
+final class OperatorAuthenticator {
+
+  private static final String SCHEME = "Bearer ";
+
+  private final Supplier<FleetState> state;
+  private final String bootstrapTokenHash;
+
+  OperatorAuthenticator(Supplier<FleetState> state, String bootstrapTokenHash) {
+    this.state = state;
+    this.bootstrapTokenHash = bootstrapTokenHash;
+  }
+
+  /**
+   * Checks an {@code Authorization} header.
+   *
+   * @throws ColtsfootvaleException UNAUTHENTICATED, not run
+   */
+  void check(@Nullable String authorization) {
+    if (authorization == null || !authorization.startsWith(SCHEME)) {
+      throw refused("The request names no operator token.");
+    }
+    byte[] hash = hash(authorization.substring(SCHEME.length()).trim());
+    if (!isKnown(hash)) {
+      throw refused("The operator token is not known.");
+    }
+  }
+
+  private boolean isKnown(byte[] hash) {
+    var operators = state.get().operators();
+    if (operators.isEmpty()) {
+      return matches(bootstrapTokenHash, hash);
+    }
+    boolean known = false;
+    for (OperatorSpec operator : operators.values()) {
+      known |= matches(operator.tokenHash(), hash);
+    }
+    return known;
+  }
+
+  private static boolean matches(String expectedHex, byte[] hash) {
+    return MessageDigest.isEqual(HexFormat.of().parseHex(expectedHex), hash);
+  }
+
+  private static byte[] hash(String token) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      return digest.digest(token.getBytes(StandardCharsets.UTF_8));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("the Java runtime lacks SHA-256", e);
+    }
+  }
+
+  private static ColtsfootvaleException refused(String detail) {
+    return ColtsfootvaleException.notRun(
+        ErrorKind.UNAUTHENTICATED,
+        detail + " Operators send 'Authorization: Bearer <operator token>'.");
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/operator/package-info.java
@@ -0,0 +1,5 @@
+/** The HTTP edge for operators: release notes, state dump and metrics. */
+@NullMarked
+package org.coltsfootvale.router.operator;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/platform/HostListClient.java
@@ -0,0 +1,64 @@
+package org.coltsfootvale.router.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import okhttp3.OkHttpClient;
+import org.coltsfootvale.core.membership.Membership.ListedHost;
+import org.coltsfootvale.core.model.DataCentreId;
+import org.coltsfootvale.core.model.HostPort;
+
+/** Reads the platform's lagging list of live and leaving hosts. */
+public final class HostListClient {
+
+  private final String url;
+  private final JsonCalls calls;
+
+  /** Creates a client of the host list at a base address. */
+  public HostListClient(
+      OkHttpClient client, ObjectMapper mapper, MeterRegistry meters, URI url, Duration timeout) {
+    this.url = url.toString().replaceAll("/$", "") + "/hosts";
+    this.calls = new JsonCalls(client, mapper, meters, timeout);
+  }
+
+  /** Reads the list; fails with a PlatformException. Entries that cannot be read are left out. */
+  public CompletableFuture<HostList> read() {
+    return calls.get("hosts", url).thenApply(this::parse);
+  }
+
+  private HostList parse(JsonNode answer) {
+    List<ListedHost> hosts = new ArrayList<>();
+    for (JsonNode host : answer.path("hosts")) {
+      try {
+        hosts.add(parseHost(host));
+      } catch (IllegalArgumentException e) {
+        calls.count("hosts", "entry_invalid");
+      }
+    }
+    return new HostList(hosts, Instant.ofEpochMilli(answer.path("asOfMillis").asLong()));
+  }
+
+  private static ListedHost parseHost(JsonNode host) {
+    return new ListedHost(
+        host.path("id").asText(),
+        ListedHost.Kind.valueOf(host.path("kind").asText().toUpperCase(Locale.ROOT)),
+        HostPort.parse(host.path("address").asText()),
+        new DataCentreId(host.path("dataCentre").asText()),
+        host.path("state").asText().equals("leaving"));
+  }
+
+  /**
+   * The list.
+   *
+   * @param hosts the hosts
+   * @param asOf the time that the platform gives it
+   */
+  public record HostList(List<ListedHost> hosts, Instant asOf) {}
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/platform/WatchCall.java
@@ -0,0 +1,92 @@
+package org.coltsfootvale.router.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import okio.BufferedSource;
+import org.coltsfootvale.core.platform.KeyValueStore;
+import org.coltsfootvale.core.platform.PlatformException;
+import org.jspecify.annotations.Nullable;
+
+/** One open watch: a chunked answer with a JSON object on each line. */
+final class WatchCall implements KeyValueStore.Watch, Callback {
+
+  private final ObjectMapper mapper;
+  private final KeyValueStore.WatchListener listener;
+  private final Call call;
+  private volatile boolean closed;
+
+  private WatchCall(Call call, ObjectMapper mapper, KeyValueStore.WatchListener listener) {
+    this.call = call;
+    this.mapper = mapper;
+    this.listener = listener;
+  }
+
+  static WatchCall open(
+      OkHttpClient client,
+      Request request,
+      ObjectMapper mapper,
+      KeyValueStore.WatchListener listener) {
+    WatchCall watch = new WatchCall(client.newCall(request), mapper, listener);
+    watch.call.enqueue(watch);
+    return watch;
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    call.cancel();
+  }
+
+  @Override
+  public void onFailure(Call failed, IOException e) {
+    end("the watch failed: " + e.getMessage(), e);
+  }
+
+  @Override
+  public void onResponse(Call answered, Response response) {
+    try (response) {
+      if (!response.isSuccessful()) {
+        end("the watch was refused with status " + response.code(), null);
+        return;
+      }
+      readEvents(response.body().source());
+    } catch (IOException e) {
+      end("the watch broke off: " + e.getMessage(), e);
+    }
+  }
+
+  private void readEvents(BufferedSource source) throws IOException {
+    for (String line = source.readUtf8Line(); line != null; line = source.readUtf8Line()) {
+      if (line.isBlank()) {
+        continue;
+      }
+      JsonNode result = mapper.readTree(line).path("result");
+      if (result.path("canceled").asBoolean(false)) {
+        end("the platform cancelled the watch", null);
+        return;
+      }
+      result.path("events").forEach(this::onEvent);
+    }
+    end("the platform ended the watch", null);
+  }
+
+  private void onEvent(JsonNode event) {
+    boolean put = event.path("type").asText("PUT").equals("PUT");
+    if (put && !closed) {
+      listener.onPut(EtcdGatewayStore.readValue(event.path("kv")));
+    }
+  }
+
+  private void end(String detail, @Nullable Throwable cause) {
+    if (!closed) {
+      closed = true;
+      listener.onEnd(new PlatformException(detail, false, cause));
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ServingDecisionModule.java
@@ -0,0 +1,163 @@
+package org.coltsfootvale.router.wiring;
+
+import dagger.Module;
+import dagger.Provides;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.function.Supplier;
+import javax.inject.Singleton;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.coltsfootvale.core.admission.AdmissionController;
+import org.coltsfootvale.core.admission.AdmissionOptions;
+import org.coltsfootvale.core.admission.DefaultAdmissionController;
+import org.coltsfootvale.core.admission.DefaultShareCoordinator;
+import org.coltsfootvale.core.admission.DemandMeter;
+import org.coltsfootvale.core.admission.ShareCoordinator;
+import org.coltsfootvale.core.model.FleetView;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.once.DefaultKeyPrefixes;
+import org.coltsfootvale.core.once.DefaultOnceRegistry;
+import org.coltsfootvale.core.once.HomeDirectory;
+import org.coltsfootvale.core.once.KeyPrefixes;
+import org.coltsfootvale.core.once.OnceLimits;
+import org.coltsfootvale.core.once.OnceRegistry;
+import org.coltsfootvale.core.placement.ContinuationTokens;
+import org.coltsfootvale.core.placement.DefaultContinuationTokens;
+import org.coltsfootvale.core.placement.DefaultEngineSelector;
+import org.coltsfootvale.core.placement.EngineSelector;
+import org.coltsfootvale.core.placement.PlacementOptions;
+import org.coltsfootvale.core.platform.KeyValueStore;
+import org.coltsfootvale.core.release.FleetState;
+import org.coltsfootvale.core.retry.CircuitBreakers;
+import org.coltsfootvale.core.retry.CircuitOptions;
+import org.coltsfootvale.core.retry.DefaultCircuitBreakers;
+import org.coltsfootvale.core.retry.DefaultRetryPolicy;
+import org.coltsfootvale.core.retry.RetryOptions;
+import org.coltsfootvale.core.retry.RetryPolicy;
+import org.coltsfootvale.core.settings.RouterSettings;
+
+/** Provides the decisions about single requests: placement, limits, retries and keys. */
+@Module
+final class ServingDecisionModule {
+
+  private ServingDecisionModule() {}
+
+  @Provides
+  @Fleet
+  static List<byte[]> secrets(RouterSettings settings) {
+    return settings.security().fleetSecrets().stream()
+        .map(secret -> secret.getBytes(StandardCharsets.UTF_8))
+        .toList();
+  }
+
+  @Provides
+  @Singleton
+  static CircuitBreakers circuitBreakers(InstantSource clock, @Seed long seed) {
+    return new DefaultCircuitBreakers(CircuitOptions.DEFAULT, clock, seed);
+  }
+
+  @Provides
+  @Singleton
+  static RetryPolicy retryPolicy(InstantSource clock, @Seed long seed) {
+    return new DefaultRetryPolicy(RetryOptions.DEFAULT, clock, seed);
+  }
+
+  @Provides
+  @Singleton
+  static EngineSelector engineSelector(
+      Supplier<FleetState> state,
+      Supplier<FleetView> view,
+      CircuitBreakers circuits,
+      InstantSource clock) {
+    return new DefaultEngineSelector(state, view, circuits, clock, PlacementOptions.DEFAULT);
+  }
+
+  @Provides
+  @Singleton
+  static ContinuationTokens continuationTokens(
+      @Fleet List<byte[]> secrets, RouterSettings settings, InstantSource clock) {
+    Duration lifetime = Duration.ofMillis(settings.security().continuationLifetimeMillis());
+    return new DefaultContinuationTokens(secrets, lifetime, clock);
+  }
+
+  @Provides
+  @Singleton
+  static DemandMeter demandMeter(InstantSource clock) {
+    return new DemandMeter(clock);
+  }
+
+  @Provides
+  @Singleton
+  static DefaultShareCoordinator defaultShareCoordinator(
+      RouterIncarnation self,
+      Supplier<FleetState> state,
+      Supplier<FleetView> view,
+      DemandMeter meter,
+      InstantSource clock) {
+    return new DefaultShareCoordinator(self, state, view, meter, clock, AdmissionOptions.DEFAULT);
+  }
+
+  @Provides
+  static ShareCoordinator shareCoordinator(DefaultShareCoordinator coordinator) {
+    return coordinator;
+  }
+
+  @Provides
+  @Singleton
+  static AdmissionController admissionController(
+      Supplier<FleetState> state,
+      Supplier<FleetView> view,
+      DefaultShareCoordinator shares,
+      DemandMeter meter,
+      InstantSource clock,
+      @Seed long seed) {
+    return new DefaultAdmissionController(
+        state, view, shares, meter, clock, AdmissionOptions.DEFAULT, seed);
+  }
+
+  @Provides
+  @Singleton
+  static KeyPrefixes keyPrefixes(
+      @Fleet List<byte[]> secrets,
+      RouterSettings settings,
+      InstantSource clock,
+      UniformRandomProvider random) {
+    Duration lifetime = Duration.ofMillis(settings.security().keyPrefixLifetimeMillis());
+    return new DefaultKeyPrefixes(
+        secrets,
+        lifetime,
+        clock,
+        () -> {
+          synchronized (random) {
+            return random.nextLong();
+          }
+        });
+  }
+
+  @Provides
+  @Singleton
+  static HomeDirectory homeDirectory(RouterIncarnation self, Supplier<FleetView> view) {
+    return new ViewHomeDirectory(self, view);
+  }
+
+  @Provides
+  @Singleton
+  static OnceRegistry onceRegistry(
+      RouterIncarnation self,
+      HomeDirectory homes,
+      KeyValueStore store,
+      InstantSource clock,
+      RouterSettings settings) {
+    OnceLimits base = OnceLimits.DEFAULT;
+    OnceLimits limits =
+        new OnceLimits(
+            settings.requests().keysMax(),
+            settings.requests().keyAnswerBytesMax(),
+            base.answerBytesMax(),
+            base.claimLifetime(),
+            base.claimMargin());
+    return new DefaultOnceRegistry(self, homes, store, clock, System::nanoTime, limits);
+  }
+}
