--- a/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/package-info.java
+++ b/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/package-info.java
@@ -1,4 +1,4 @@
-/** Module cli. */
+/** The operator's command line: commands, their options, output and exit codes. */
 @NullMarked
 package org.coltsfootvale.cli;
 
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/engine/Completion.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/engine/Completion.java
@@ -120,7 +120,7 @@
   }
 
   long runningTokens() {
-    return answer.size() - producedTokens;
+    return (long) answer.size() - producedTokens;
   }
 
   private void emit(int index) {
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/engine/EngineStandIn.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/engine/EngineStandIn.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.coltsfootvale.testkit.support.Fault;
 import org.coltsfootvale.testkit.support.Json;
 import org.coltsfootvale.testkit.support.ResponseStream;
@@ -65,7 +64,7 @@
   @Override
   protected void onStart() {
     lastTickNanos = System.nanoTime();
-    timers().scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    repeatEvery(TICK_MILLIS, this::tick);
   }
 
   @Override
@@ -139,7 +138,7 @@
     CompletionStream stream = openStream(ctx, shownId, prompt, 0);
     armFaults(stream, completion);
     if (faults().take(Fault.LATE)) {
-      after(faults().lateMillis()).thenRun(() -> batcher.attach(completion, 0, stream));
+      runAfter(faults().lateMillis(), () -> batcher.attach(completion, 0, stream));
     } else {
       batcher.attach(completion, 0, stream);
     }
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/platform/PlatformStandIn.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/platform/PlatformStandIn.java
@@ -8,7 +8,6 @@
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.coltsfootvale.testkit.support.Json;
 import org.coltsfootvale.testkit.support.RateLimit;
@@ -73,9 +72,7 @@
 
   @Override
   protected void onStart() {
-    timers()
-        .scheduleAtFixedRate(
-            store::expireLeases, LEASE_SWEEP_MILLIS, LEASE_SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    repeatEvery(LEASE_SWEEP_MILLIS, store::expireLeases);
   }
 
   @Override
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/platform/WatchCalls.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/platform/WatchCalls.java
@@ -38,13 +38,11 @@
                   .put("compact_revision", Long.toString(store.revision()))));
       stream.end();
     }
-    stream
-        .done()
-        .whenComplete(
-            (done, failure) -> {
-              store.unlisten(listener);
-              open.remove(stream);
-            });
+    stream.onDone(
+        () -> {
+          store.unlisten(listener);
+          open.remove(stream);
+        });
   }
 
   /** Cuts every open watch. */
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/support/ResponseStream.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/support/ResponseStream.java
@@ -78,9 +78,9 @@
     }
   }
 
-  /** Completes when the answer has ended or the peer has gone. */
-  public CompletableFuture<Void> done() {
-    return done;
+  /** Runs an action when the answer has ended or the peer has gone. */
+  public void onDone(Runnable action) {
+    var unused = done.thenRun(action);
   }
 
   private void drainSoon() {
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/support/StandInServer.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/support/StandInServer.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.testkit.support;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
 import io.javalin.Javalin;
 import io.javalin.http.ContentType;
 import io.javalin.http.Context;
@@ -18,6 +19,7 @@
   /** The loopback address that every stand-in listens on. */
   public static final String HOST = "127.0.0.1";
 
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final int BAD_REQUEST = 400;
   private static final int BODY_BYTES_MAX = 16 << 20;
   private static final int HTTP_THREADS_MAX = 24;
@@ -122,9 +124,23 @@
     return writers;
   }
 
-  /** Returns the timers. */
-  protected final ScheduledExecutorService timers() {
-    return timers;
+  /** Runs a task again and again, also after it has failed. */
+  protected final void repeatEvery(long millis, Runnable task) {
+    var unused =
+        timers.scheduleAtFixedRate(() -> runLogged(task), millis, millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Runs a task once after a time in milliseconds. */
+  protected final void runAfter(long millis, Runnable task) {
+    var unused = timers.schedule(() -> runLogged(task), millis, TimeUnit.MILLISECONDS);
+  }
+
+  private static void runLogged(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOGGER.atWarning().withCause(e).log("a task of a stand-in failed");
+    }
   }
 
   /** Answers with JSON. */
@@ -140,7 +156,7 @@
   /** Returns a future that completes after a time in milliseconds. */
   protected final CompletableFuture<Void> after(long millis) {
     CompletableFuture<Void> future = new CompletableFuture<>();
-    timers.schedule(() -> future.complete(null), millis, TimeUnit.MILLISECONDS);
+    runAfter(millis, () -> future.complete(null));
     return future;
   }
 
