--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/EdgeModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/EdgeModule.java
@@ -24,6 +24,7 @@
 import org.coltsfootvale.core.placement.EngineSelector;
 import org.coltsfootvale.core.release.FleetState;
 import org.coltsfootvale.core.release.ReleaseLog;
+import org.coltsfootvale.core.release.ReleaseNoteCodec;
 import org.coltsfootvale.core.retry.CircuitBreakers;
 import org.coltsfootvale.core.retry.RetryPolicy;
 import org.coltsfootvale.core.settings.RouterSettings;
