--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/PlatformModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/PlatformModule.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
 import dagger.Module;
@@ -14,9 +16,15 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.List;
 import javax.inject.Singleton;
 import okhttp3.Dispatcher;
 import okhttp3.OkHttpClient;
+import org.coltsfootvale.core.model.DataCentreId;
+import org.coltsfootvale.core.model.EngineId;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.model.RouterIncarnation;
 import org.coltsfootvale.core.platform.KeyValueStore;
 import org.coltsfootvale.core.settings.RouterSettings;
 import org.coltsfootvale.router.platform.EtcdGatewayStore;
@@ -52,6 +60,7 @@
     return JsonMapper.builder()
         .addModule(new JavaTimeModule())
         .addModule(new Jdk8Module())
+        .addModule(identifiers())
         .disable(SerializationFeature.WRITE_DATES_AS_TIMESTAMPS)
         .disable(SerializationFeature.WRITE_DURATIONS_AS_TIMESTAMPS)
         .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
@@ -95,6 +104,21 @@
         client, mapper, meters, settings.platform().weightsUrl(), timeout(settings));
   }
 
+  /** Returns a module that writes identifiers and addresses as plain text. */
+  private static SimpleModule identifiers() {
+    SimpleModule module = new SimpleModule();
+    for (Class<?> type :
+        List.of(
+            RouterId.class,
+            RouterIncarnation.class,
+            EngineId.class,
+            DataCentreId.class,
+            HostPort.class)) {
+      module.addSerializer(type, ToStringSerializer.instance);
+    }
+    return module;
+  }
+
   private static Duration timeout(RouterSettings settings) {
     return Duration.ofMillis(settings.platform().callTimeoutMillis());
   }
