Forward keyed requests over the wire; state outcomes over all sendings of a key

Cause: a refusal before the key's state is known (an overloaded or closing router, a home that cannot be reached) said not_run, although an earlier request with the same key may have run; a caller would then send it under a fresh key. Ruled out: telling the transport's refusals from the home's by their kind; both use OVERLOADED. The home now states its own refusals as an answer, and every failure of the forwarding itself is unknown. Change: Outcomes; the key's state is looked up before the request is checked, so that a stored answer is replayed also after its model or service was withdrawn; the key is passed to engines, which may count it; a service's answer that echoes another request id is not passed on.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/EngineClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/EngineClient.java
@@ -44,6 +44,7 @@
    * @param chunksReceived how many chunks have arrived already
    * @param resume whether the attempt continues one that the engine has taken on before
    * @param importFrom an engine to import the chat's cache from, or null
+   * @param idempotencyKey the caller's key, or null
    * @param freshConnection whether to open a connection instead of reusing one
    */
   @SuppressWarnings("ArrayRecordComponent")
@@ -57,5 +58,6 @@
       int chunksReceived,
       boolean resume,
       @Nullable URI importFrom,
+      @Nullable String idempotencyKey,
       boolean freshConnection) {}
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
@@ -176,6 +176,9 @@
     if (request.importFrom() != null) {
       builder.header("X-Import-From", request.importFrom().toString());
     }
+    if (request.idempotencyKey() != null) {
+      builder.header("X-Idempotency-Key", request.idempotencyKey());
+    }
     return builder.build();
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpServiceClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpServiceClient.java
@@ -40,6 +40,7 @@
         watchdog.watch(call::cancel, service.deadline(), settings.serviceTimeoutMillis())) {
       try (Response response = call.execute()) {
         checkRefusal(response);
+        checkEcho(service, response);
         copy(response, watch, consumer);
       } catch (IOException e) {
         throw failure(gate, watch, e);
@@ -56,6 +57,14 @@
     }
   }
 
+  private static void checkEcho(ServiceCall service, Response response) {
+    @Nullable String echoed = response.header("X-Request-Id");
+    if (echoed != null && !echoed.isEmpty() && !echoed.equals(service.requestId())) {
+      throw new AttemptFailedException(
+          Stage.SENT, ErrorKind.BACKEND_FAILED, "the service answered another request", null);
+    }
+  }
+
   private void copy(Response response, CallWatchdog.Watch watch, AnswerConsumer consumer)
       throws IOException {
     watch.hold();
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/ServiceClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/ServiceClient.java
@@ -35,6 +35,7 @@
    * @param query the encoded query, or null
    * @param headers the headers to send
    * @param body the body, possibly empty
+   * @param requestId the id that a service may echo
    * @param deadline the time by which the whole answer is wanted
    * @param freshConnection whether to open a connection instead of reusing one
    */
@@ -46,6 +47,7 @@
       @Nullable String query,
       Headers headers,
       byte[] body,
+      String requestId,
       Instant deadline,
       boolean freshConnection) {}
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/caller/CallerRoutes.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/caller/CallerRoutes.java
@@ -20,6 +20,7 @@
 import org.coltsfootvale.router.request.CallerHeaders;
 import org.coltsfootvale.router.request.Drain;
 import org.coltsfootvale.router.request.IncomingRequest;
+import org.coltsfootvale.router.request.Outcomes;
 import org.coltsfootvale.router.request.PlainServices;
 import org.coltsfootvale.router.request.RequestDispatcher;
 import org.coltsfootvale.router.request.RequestHandler;
@@ -121,9 +122,9 @@
     ServletAnswer answer =
         new ServletAnswer(context.res(), headers(requestId), requestId, () -> abort(context));
     try {
-      with.drain().enter();
+      enter(context);
       try {
-        with.handler().serve(read(context, requestId, path), answer);
+        with.handler().serve(accept(context, requestId, path), answer);
         with.metrics().succeeded(path);
       } finally {
         with.drain().exit();
@@ -136,6 +137,27 @@
     }
   }
 
+  private void enter(Context context) {
+    try {
+      with.drain().enter();
+    } catch (ColtsfootvaleException e) {
+      throw refused(context, e);
+    }
+  }
+
+  private IncomingRequest accept(Context context, String requestId, String path) {
+    try {
+      return read(context, requestId, path);
+    } catch (ColtsfootvaleException e) {
+      throw refused(context, e);
+    }
+  }
+
+  private static ColtsfootvaleException refused(Context context, ColtsfootvaleException error) {
+    boolean keyed = context.req().getHeader(CallerHeaders.IDEMPOTENCY_KEY) != null;
+    return keyed ? Outcomes.beforeKeyIsKnown(error) : error;
+  }
+
   private IncomingRequest read(Context context, String requestId, String path) {
     OrganisationId organisation = keys.authenticate(context.req().getHeader("Authorization"));
     if (!with.ready().getAsBoolean()) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/forward/ForwardService.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/forward/ForwardService.java
@@ -20,6 +20,7 @@
 import org.coltsfootvale.protocol.wire.Header;
 import org.coltsfootvale.router.request.Drain;
 import org.coltsfootvale.router.request.IncomingRequest;
+import org.coltsfootvale.router.request.Outcomes;
 import org.coltsfootvale.router.request.RequestHandler;
 import org.coltsfootvale.router.request.ServingMetrics;
 import org.jspecify.annotations.Nullable;
@@ -113,10 +114,10 @@
   }
 
   private void serve(ForwardRequest request, ForwardResponder responder) {
-    PeerAnswer answer = new PeerAnswer(responder);
+    PeerAnswer answer = new PeerAnswer(responder, request.getRequestId());
     responder.onCancel(answer::cancel);
     try {
-      drain.enter();
+      enter();
       try {
         handler.serve(incoming(request), answer);
         metrics.succeeded(PATH);
@@ -124,15 +125,30 @@
         drain.exit();
       }
     } catch (ColtsfootvaleException e) {
-      metrics.failed(PATH, e);
-      answer.fail(e);
+      fail(answer, e);
     } catch (RuntimeException e) {
       LOGGER.atSevere().withCause(e).log("forwarded request %s failed", request.getRequestId());
       ColtsfootvaleException error =
           new ColtsfootvaleException(
               ErrorKind.INTERNAL, Outcome.UNKNOWN, "the router failed", null, e);
-      metrics.failed(PATH, error);
+      fail(answer, error);
+    }
+  }
+
+  private void fail(PeerAnswer answer, ColtsfootvaleException error) {
+    metrics.failed(PATH, error);
+    try {
       answer.fail(error);
+    } catch (ColtsfootvaleException gone) {
+      metrics.callerGone();
+    }
+  }
+
+  private void enter() {
+    try {
+      drain.enter();
+    } catch (ColtsfootvaleException e) {
+      throw Outcomes.beforeKeyIsKnown(e);
     }
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/forward/ForwardedAnswer.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/forward/ForwardedAnswer.java
@@ -6,12 +6,12 @@
 import okhttp3.Headers;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
-import org.coltsfootvale.core.error.Outcome;
 import org.coltsfootvale.protocol.ForwardListener;
 import org.coltsfootvale.protocol.ForwardStream;
 import org.coltsfootvale.protocol.wire.ForwardHead;
 import org.coltsfootvale.protocol.wire.Header;
 import org.coltsfootvale.router.request.Answer;
+import org.coltsfootvale.router.request.Outcomes;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -99,7 +99,9 @@
       answer.body(body.data(), body.data().length);
       grant(body.data().length);
     } else if (part instanceof Failed failed) {
-      throw asOutcomeOfTheKey(failed.error());
+      // The home states its own refusals in an answer; it may have run the key for an earlier
+      // request that this failure says nothing of.
+      throw Outcomes.asUnknown(failed.error());
     } else {
       answer.end();
       return true;
@@ -113,21 +115,6 @@
     }
   }
 
-  /** An unreachable home may have run the key at an earlier request of the same caller. */
-  private static ColtsfootvaleException asOutcomeOfTheKey(ColtsfootvaleException error) {
-    boolean transportFailed =
-        error.kind() == ErrorKind.HOME_LOST || error.kind() == ErrorKind.NO_BACKEND;
-    if (!transportFailed || error.outcome() == Outcome.UNKNOWN) {
-      return error;
-    }
-    return new ColtsfootvaleException(
-        ErrorKind.HOME_LOST,
-        Outcome.UNKNOWN,
-        String.valueOf(error.getMessage()),
-        error.retryAfter().orElse(null),
-        error);
-  }
-
   private static Headers headers(ForwardHead head) {
     Headers.Builder headers = new Headers.Builder();
     for (Header header : head.getHeadersList()) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/forward/PeerAnswer.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/forward/PeerAnswer.java
@@ -13,6 +13,7 @@
 import org.coltsfootvale.protocol.wire.ForwardHead;
 import org.coltsfootvale.protocol.wire.Header;
 import org.coltsfootvale.router.request.Answer;
+import org.coltsfootvale.router.request.ProblemJson;
 import org.jspecify.annotations.Nullable;
 
 /** Sends an answer back to the peer that forwarded the request, as fast as its credit allows. */
@@ -21,12 +22,14 @@
   private static final long CREDIT_TIMEOUT_SECONDS = 60;
 
   private final ForwardResponder responder;
+  private final String requestId;
   private volatile boolean cancelled;
   private volatile @Nullable CompletableFuture<Void> credit;
   private boolean begun;
 
-  PeerAnswer(ForwardResponder responder) {
+  PeerAnswer(ForwardResponder responder, String requestId) {
     this.responder = responder;
+    this.requestId = requestId;
   }
 
   /** Tells that the peer no longer wants the answer. */
@@ -82,6 +85,13 @@
 
   @Override
   public void fail(ColtsfootvaleException error) {
-    responder.fail(error);
+    if (begun) {
+      responder.fail(error);
+      return;
+    }
+    byte[] problem = ProblemJson.write(error, requestId);
+    head(error.kind().httpStatus(), ProblemJson.headers(error));
+    body(problem, problem.length);
+    responder.end();
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
@@ -75,7 +75,7 @@
       runAtEngines();
       output.end();
     } catch (ColtsfootvaleException e) {
-      throw Truthful.error(e, mayHaveRun);
+      throw Outcomes.overAllAttempts(e, mayHaveRun);
     } finally {
       permit.finish(mayHaveRun || finished ? (long) chat.promptTokens() + outputTokens : 0);
     }
@@ -264,6 +264,7 @@
         chunksReceived,
         resume,
         importFrom(reservation),
+        request.headers().get(CallerHeaders.IDEMPOTENCY_KEY),
         resume || !repeatable);
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatService.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatService.java
@@ -59,20 +59,14 @@
       throw org.coltsfootvale.core.error.ColtsfootvaleException.notRun(
           org.coltsfootvale.core.error.ErrorKind.UNKNOWN_RESOURCE, "chats are sent with POST");
     }
+    keyed.serve(request, answer, (beforeSend, target) -> run(request, beforeSend, target));
+  }
+
+  private void run(IncomingRequest request, Runnable beforeSend, Answer answer) {
     ChatRequest chat = reader.read(request);
     boolean repeatable = !KeyedRequests.marked(request);
-    keyed.serve(
-        request,
-        answer,
-        (beforeSend, target) ->
-            new ChatCourse(
-                    collaborators,
-                    request,
-                    chat,
-                    repeatable,
-                    beforeSend,
-                    output(request, chat, target))
-                .run());
+    ChatOutput output = output(request, chat, answer);
+    new ChatCourse(collaborators, request, chat, repeatable, beforeSend, output).run();
   }
 
   private static ChatOutput output(IncomingRequest request, ChatRequest chat, Answer answer) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/KeyedRequests.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/KeyedRequests.java
@@ -10,6 +10,7 @@
 import okhttp3.Headers;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.error.Failures;
 import org.coltsfootvale.core.error.Outcome;
 import org.coltsfootvale.core.once.IdempotencyKey;
 import org.coltsfootvale.core.once.KeyPrefixes;
@@ -90,8 +91,7 @@
       IdempotencyKey key = prefixes.parse(request.organisation(), text);
       return registry.begin(key, fingerprint(request));
     } catch (ColtsfootvaleException e) {
-      // The key may have run before it expired.
-      throw e.kind() == ErrorKind.KEY_EXPIRED ? Truthful.error(e, true) : e;
+      throw Outcomes.beforeKeyIsKnown(e);
     }
   }
 
@@ -144,7 +144,7 @@
     } else {
       execution.unknown(
           ColtsfootvaleException.unknown(
-              ErrorKind.BACKEND_FAILED, "the request ran, but its answer is too large to keep"));
+              ErrorKind.ANSWER_NOT_KEPT, "the request ran, but its answer is too large to keep"));
     }
   }
 
@@ -164,6 +164,8 @@
   private OnceDecision claimed(CompletableFuture<OnceDecision> decision, IncomingRequest request) {
     try {
       return await(decision, request);
+    } catch (ColtsfootvaleException e) {
+      throw Outcomes.beforeKeyIsKnown(e);
     } catch (TimeoutException e) {
       var unused = decision.thenAccept(KeyedRequests::abandon);
       throw new ColtsfootvaleException(
@@ -187,11 +189,7 @@
     try {
       return future.get(Math.max(1, millis), TimeUnit.MILLISECONDS);
     } catch (ExecutionException e) {
-      if (e.getCause() instanceof ColtsfootvaleException error) {
-        throw error;
-      }
-      throw new ColtsfootvaleException(
-          ErrorKind.INTERNAL, Outcome.UNKNOWN, "the key's state was lost", null, e);
+      throw Failures.typed(e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw ColtsfootvaleException.unknown(ErrorKind.CANCELLED, "the router is being stopped");
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/PlainServices.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/PlainServices.java
@@ -78,20 +78,19 @@
 
   @Override
   public void serve(IncomingRequest request, Answer answer) {
+    keyed.serve(request, answer, (beforeSend, target) -> run(request, beforeSend, target));
+  }
+
+  private void run(IncomingRequest request, Runnable beforeSend, Answer answer) {
     ServiceSpec service = find(collaborators.fleet().get(), request.path());
     if (request.body().length > service.bodyBytesMax()) {
       throw ColtsfootvaleException.notRun(
           ErrorKind.BODY_TOO_LARGE,
           "the service takes at most " + service.bodyBytesMax() + " bytes");
     }
-    String name = name(request.path());
-    String rest =
-        request.path().substring(RequestDispatcher.SERVICES_PATH.length() + name.length());
+    int prefix = RequestDispatcher.SERVICES_PATH.length() + name(request.path()).length();
+    String rest = request.path().substring(prefix);
     String path = rest.isEmpty() ? "/" : rest;
-    keyed.serve(
-        request,
-        answer,
-        (beforeSend, target) ->
-            new ServiceCourse(collaborators, request, service, path, beforeSend, target).run());
+    new ServiceCourse(collaborators, request, service, path, beforeSend, answer).run();
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ServiceCourse.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ServiceCourse.java
@@ -83,7 +83,7 @@
       }
       answer.end();
     } catch (ColtsfootvaleException e) {
-      throw Truthful.error(e, mayHaveRun);
+      throw Outcomes.overAllAttempts(e, mayHaveRun);
     } finally {
       permit.finish(0);
     }
@@ -167,6 +167,7 @@
         request.query(),
         headers,
         request.body(),
+        request.requestId(),
         request.deadline(),
         !repeatable);
   }
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/Fakes.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/Fakes.java
@@ -184,11 +184,16 @@
   static final class PlainOnce implements OnceRegistry {
     final Map<IdempotencyKey, CompletableFuture<StoredAnswer>> answers = new ConcurrentHashMap<>();
     final Queue<String> ends = new ConcurrentLinkedQueue<>();
+    private final RouterIncarnation self;
     volatile boolean lapsed;
 
+    PlainOnce(RouterIncarnation self) {
+      this.self = self;
+    }
+
     @Override
     public OnceDecision begin(IdempotencyKey key, long fingerprint) {
-      if (!Fakes.SELF.equals(key.home())) {
+      if (!self.equals(key.home())) {
         return new OnceDecision.Forward(Fakes.HOME);
       }
       CompletableFuture<StoredAnswer> fresh = new CompletableFuture<>();
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ServingFixture.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ServingFixture.java
@@ -27,6 +27,7 @@
 import org.coltsfootvale.core.model.ModelId;
 import org.coltsfootvale.core.model.OrganisationId;
 import org.coltsfootvale.core.model.PoolId;
+import org.coltsfootvale.core.model.RouterIncarnation;
 import org.coltsfootvale.core.model.ServiceId;
 import org.coltsfootvale.core.placement.PlacementRequest;
 import org.coltsfootvale.core.release.EngineSpec;
@@ -64,7 +65,7 @@
   final StubEngine first = new StubEngine();
   final StubEngine second = new StubEngine();
   final StubService service = new StubService();
-  final Fakes.PlainOnce once = new Fakes.PlainOnce();
+  final Fakes.PlainOnce once;
   final Queue<String> membershipReports = new ConcurrentLinkedQueue<>();
   final Queue<PlacementRequest> placements = new ConcurrentLinkedQueue<>();
   final SimpleMeterRegistry registry = new SimpleMeterRegistry();
@@ -87,6 +88,11 @@
   }
 
   ServingFixture(int tokenTimeoutMillis) throws IOException {
+    this(tokenTimeoutMillis, Fakes.SELF);
+  }
+
+  ServingFixture(int tokenTimeoutMillis, RouterIncarnation self) throws IOException {
+    once = new Fakes.PlainOnce(self);
     watchdog.start();
     BackendSettings backend =
         new BackendSettings(1_000, 20_000, tokenTimeoutMillis, 20_000, 5_000, 16);
