Choose replicas by core's selector and leave circuit probes to the selectors

Cause: two classes chose replicas of plain services, and a chat asked the engine's circuit a second time after the selector had taken its only probe, so that a half-open circuit never admitted one. The import of ReleaseNoteCodec that the wiring lacked is added, without which the module did not compile.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
@@ -1,7 +1,6 @@
 package org.coltsfootvale.router.backend;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
 import java.io.IOException;
@@ -29,7 +28,6 @@
 
   private static final MediaType JSON = MediaType.get("application/json");
   private static final int CANCELS_IN_PROGRESS_MAX = 256;
-  private static final int REFUSAL_BYTES_MAX = 8_192;
 
   private final BackendClients clients;
   private final BackendSettings settings;
@@ -100,11 +98,11 @@
     }
   }
 
-  private RuntimeException refusal(EngineRequest request, Response response) {
+  private static RuntimeException refusal(EngineRequest request, Response response) {
     int status = response.code();
-    JsonNode body = refusalBody(response);
-    if (status == 503 && body.path("outcome").asText().equals("not_run")) {
-      String reason = body.path("reason").asText("full");
+    RefusalBody body = RefusalBody.read(response);
+    if (status == 503 && body.outcome().equals("not_run")) {
+      String reason = body.reason();
       return AttemptFailedException.refused(
           "the engine refused: " + reason,
           RetryAfter.parse(response.header("Retry-After")),
@@ -112,21 +110,12 @@
     }
     if (status == 400 || status == 413 || status == 422) {
       return ColtsfootvaleException.unknown(
-          ErrorKind.MALFORMED_REQUEST,
-          "the engine answered " + status + " " + body.path("detail").asText());
+          ErrorKind.MALFORMED_REQUEST, "the engine answered " + status + " " + body.detail());
     }
     return new AttemptFailedException(
         sentStage(request), ErrorKind.BACKEND_FAILED, "the engine answered " + status, null);
   }
 
-  private JsonNode refusalBody(Response response) {
-    try {
-      return mapper.readTree(response.peekBody(REFUSAL_BYTES_MAX).bytes());
-    } catch (IOException e) {
-      return mapper.nullNode();
-    }
-  }
-
   private static RuntimeException failure(
       EngineRequest request, SendGate gate, CallWatchdog.Watch watch, IOException cause) {
     if (!gate.passed()) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpServiceClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpServiceClient.java
@@ -53,7 +53,7 @@
       throw AttemptFailedException.refused(
           "the service refused with status " + response.code(),
           RetryAfter.parse(response.header("Retry-After")),
-          false);
+          RefusalBody.read(response).reason().equals("leaving"));
     }
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
@@ -125,7 +125,7 @@
   private boolean runAt(Reservation reservation) {
     EngineId id = reservation.engine();
     @Nullable EngineSpec engine = with.fleet().get().engines().get(id);
-    if (engine == null || !with.breakers().tryAcquire(id.value())) {
+    if (engine == null) {
       excluded.add(id);
       return false;
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/PlainServices.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/PlainServices.java
@@ -6,6 +6,7 @@
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.model.ServiceId;
+import org.coltsfootvale.core.placement.ReplicaSelector;
 import org.coltsfootvale.core.release.FleetState;
 import org.coltsfootvale.core.release.ServiceSpec;
 import org.coltsfootvale.core.retry.CircuitBreakers;
@@ -30,6 +31,7 @@
    *
    * @param fleet the state of the fleet
    * @param replicas chooses replicas
+   * @param leaving is told of replicas that refuse because they are leaving
    * @param admission enforces limits
    * @param retryPolicy decides what follows a failure
    * @param breakers the replicas' circuit breakers, by replica id
@@ -40,7 +42,8 @@
    */
   public record Collaborators(
       Supplier<FleetState> fleet,
-      ServiceReplicas replicas,
+      ReplicaSelector replicas,
+      LeavingReplicas leaving,
       AdmissionController admission,
       RetryPolicy retryPolicy,
       CircuitBreakers breakers,
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ServiceCourse.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ServiceCourse.java
@@ -8,6 +8,7 @@
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.model.RequestClass;
+import org.coltsfootvale.core.placement.ReplicaSelector;
 import org.coltsfootvale.core.release.ServiceSpec;
 import org.coltsfootvale.core.release.ServiceSpec.Replica;
 import org.coltsfootvale.core.retry.AttemptFailure.Stage;
@@ -25,7 +26,6 @@
 
   private static final Set<String> REPEATABLE_METHODS =
       Set.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE");
-  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   private final PlainServices.Collaborators with;
   private final IncomingRequest request;
@@ -98,17 +98,19 @@
 
   /** Returns false if another replica is to be tried. */
   private boolean runAtReplica() {
-    @Nullable Replica replica = with.replicas().take(service, excluded);
-    if (replica == null) {
-      throw lastFailure != null
-          ? lastFailure
-          : ColtsfootvaleException.notRun(
-              ErrorKind.NO_BACKEND, "no replica of the service can be used", RETRY_AFTER);
-    }
+    ReplicaSelector.Selection selection = select();
     try {
-      return attempt(replica);
+      return attempt(selection.replica());
     } finally {
-      with.replicas().release(replica);
+      selection.release();
+    }
+  }
+
+  private ReplicaSelector.Selection select() {
+    try {
+      return with.replicas().select(service.id(), repeatable, excluded);
+    } catch (ColtsfootvaleException e) {
+      throw lastFailure == null ? e : lastFailure;
     }
   }
 
@@ -135,6 +137,7 @@
     with.metrics().attemptFailed(failed.failure());
     if (failed.failure().stage() == Stage.REFUSED) {
       with.breakers().onSuccess(replica.id());
+      noteLeaving(replica, failed);
     } else {
       with.breakers().onFailure(replica.id());
     }
@@ -151,6 +154,12 @@
     pause(((RetryDecision.Elsewhere) decision).delay());
   }
 
+  private void noteLeaving(Replica replica, AttemptFailedException failed) {
+    if (failed.leaving()) {
+      with.leaving().add(replica.id());
+    }
+  }
+
   private void pause(Duration delay) {
     Duration left = Duration.between(with.clock().instant(), request.deadline());
     Duration wait = delay.compareTo(left) < 0 ? delay : left;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/EdgeModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/EdgeModule.java
@@ -21,9 +21,12 @@
 import org.coltsfootvale.core.once.KeyPrefixes;
 import org.coltsfootvale.core.once.OnceRegistry;
 import org.coltsfootvale.core.placement.ContinuationTokens;
+import org.coltsfootvale.core.placement.DefaultReplicaSelector;
 import org.coltsfootvale.core.placement.EngineSelector;
+import org.coltsfootvale.core.placement.ReplicaSelector;
 import org.coltsfootvale.core.release.FleetState;
 import org.coltsfootvale.core.release.ReleaseLog;
+import org.coltsfootvale.core.release.ReleaseNoteCodec;
 import org.coltsfootvale.core.retry.CircuitBreakers;
 import org.coltsfootvale.core.retry.RetryPolicy;
 import org.coltsfootvale.core.settings.RouterSettings;
@@ -47,10 +50,10 @@
 import org.coltsfootvale.router.request.ChatService;
 import org.coltsfootvale.router.request.Drain;
 import org.coltsfootvale.router.request.KeyedRequests;
+import org.coltsfootvale.router.request.LeavingReplicas;
 import org.coltsfootvale.router.request.Pause;
 import org.coltsfootvale.router.request.PlainServices;
 import org.coltsfootvale.router.request.RequestDispatcher;
-import org.coltsfootvale.router.request.ServiceReplicas;
 import org.coltsfootvale.router.request.ServingMetrics;
 import org.coltsfootvale.router.request.ServingSettings;
 
@@ -179,15 +182,26 @@
 
   @Provides
   @Singleton
-  static ServiceReplicas serviceReplicas(RouterSettings settings, CircuitBreakers breakers) {
-    return new ServiceReplicas(settings.router().dataCentre(), breakers);
+  static LeavingReplicas leavingReplicas(InstantSource clock) {
+    return new LeavingReplicas(clock);
+  }
+
+  @Provides
+  @Singleton
+  static ReplicaSelector replicaSelector(
+      Supplier<FleetState> fleet,
+      LeavingReplicas leaving,
+      CircuitBreakers breakers,
+      @Seed long seed) {
+    return new DefaultReplicaSelector(fleet, leaving, breakers, seed);
   }
 
   @Provides
   @Singleton
   static PlainServices plainServices(
       Supplier<FleetState> fleet,
-      ServiceReplicas replicas,
+      ReplicaSelector replicas,
+      LeavingReplicas leaving,
       AdmissionController admission,
       RetryPolicy retryPolicy,
       CircuitBreakers breakers,
@@ -199,6 +213,7 @@
         new PlainServices.Collaborators(
             fleet,
             replicas,
+            leaving,
             admission,
             retryPolicy,
             breakers,
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ServingFixture.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ServingFixture.java
@@ -29,6 +29,7 @@
 import org.coltsfootvale.core.model.PoolId;
 import org.coltsfootvale.core.model.RouterIncarnation;
 import org.coltsfootvale.core.model.ServiceId;
+import org.coltsfootvale.core.placement.DefaultReplicaSelector;
 import org.coltsfootvale.core.placement.PlacementRequest;
 import org.coltsfootvale.core.release.EngineSpec;
 import org.coltsfootvale.core.release.FleetState;
@@ -46,10 +47,10 @@
 import org.coltsfootvale.router.request.Drain;
 import org.coltsfootvale.router.request.Forwarder;
 import org.coltsfootvale.router.request.KeyedRequests;
+import org.coltsfootvale.router.request.LeavingReplicas;
 import org.coltsfootvale.router.request.Pause;
 import org.coltsfootvale.router.request.PlainServices;
 import org.coltsfootvale.router.request.RequestDispatcher;
-import org.coltsfootvale.router.request.ServiceReplicas;
 import org.coltsfootvale.router.request.ServingMetrics;
 import org.coltsfootvale.router.request.ServingSettings;
 
@@ -73,6 +74,7 @@
   final HttpClient client = HttpClient.newHttpClient();
   final RequestDispatcher dispatcher;
   final ServingMetrics metrics = new ServingMetrics(registry, drain);
+  final LeavingReplicas leaving = new LeavingReplicas(InstantSource.system());
   volatile boolean ready = true;
   volatile Forwarder forwarder =
       (home, request, answer) -> {
@@ -141,7 +143,8 @@
         new PlainServices(
             new PlainServices.Collaborators(
                 () -> fleet,
-                new ServiceReplicas(HERE, breakers),
+                new DefaultReplicaSelector(() -> fleet, leaving, breakers, 1),
+                leaving,
                 admission,
                 new Fakes.AtOnce(),
                 breakers,
