--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpServiceClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpServiceClient.java
@@ -40,6 +40,7 @@
         watchdog.watch(call::cancel, service.deadline(), settings.serviceTimeoutMillis())) {
       try (Response response = call.execute()) {
         checkRefusal(response);
+        checkEcho(service, response);
         copy(response, watch, consumer);
       } catch (IOException e) {
         throw failure(gate, watch, e);
@@ -52,7 +53,15 @@
       throw AttemptFailedException.refused(
           "the service refused with status " + response.code(),
           RetryAfter.parse(response.header("Retry-After")),
-          false);
+          RefusalBody.read(response).reason().equals("leaving"));
+    }
+  }
+
+  private static void checkEcho(ServiceCall service, Response response) {
+    @Nullable String echoed = response.header("X-Request-Id");
+    if (echoed != null && !echoed.isEmpty() && !echoed.equals(service.requestId())) {
+      throw new AttemptFailedException(
+          Stage.SENT, ErrorKind.BACKEND_FAILED, "the service answered another request", null);
     }
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
@@ -75,7 +75,7 @@
       runAtEngines();
       output.end();
     } catch (ColtsfootvaleException e) {
-      throw Truthful.error(e, mayHaveRun);
+      throw Outcomes.overAllAttempts(e, mayHaveRun);
     } finally {
       permit.finish(mayHaveRun || finished ? (long) chat.promptTokens() + outputTokens : 0);
     }
@@ -125,7 +125,7 @@
   private boolean runAt(Reservation reservation) {
     EngineId id = reservation.engine();
     @Nullable EngineSpec engine = with.fleet().get().engines().get(id);
-    if (engine == null || !with.breakers().tryAcquire(id.value())) {
+    if (engine == null) {
       excluded.add(id);
       return false;
     }
@@ -264,6 +264,7 @@
         chunksReceived,
         resume,
         importFrom(reservation),
+        request.headers().get(CallerHeaders.IDEMPOTENCY_KEY),
         resume || !repeatable);
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/PlainServices.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/PlainServices.java
@@ -6,6 +6,7 @@
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.model.ServiceId;
+import org.coltsfootvale.core.placement.ReplicaSelector;
 import org.coltsfootvale.core.release.FleetState;
 import org.coltsfootvale.core.release.ServiceSpec;
 import org.coltsfootvale.core.retry.CircuitBreakers;
@@ -30,6 +31,7 @@
    *
    * @param fleet the state of the fleet
    * @param replicas chooses replicas
+   * @param leaving is told of replicas that refuse because they are leaving
    * @param admission enforces limits
    * @param retryPolicy decides what follows a failure
    * @param breakers the replicas' circuit breakers, by replica id
@@ -40,7 +42,8 @@
    */
   public record Collaborators(
       Supplier<FleetState> fleet,
-      ServiceReplicas replicas,
+      ReplicaSelector replicas,
+      LeavingReplicas leaving,
       AdmissionController admission,
       RetryPolicy retryPolicy,
       CircuitBreakers breakers,
@@ -78,20 +81,19 @@
 
   @Override
   public void serve(IncomingRequest request, Answer answer) {
+    keyed.serve(request, answer, (beforeSend, target) -> run(request, beforeSend, target));
+  }
+
+  private void run(IncomingRequest request, Runnable beforeSend, Answer answer) {
     ServiceSpec service = find(collaborators.fleet().get(), request.path());
     if (request.body().length > service.bodyBytesMax()) {
       throw ColtsfootvaleException.notRun(
           ErrorKind.BODY_TOO_LARGE,
           "the service takes at most " + service.bodyBytesMax() + " bytes");
     }
-    String name = name(request.path());
-    String rest =
-        request.path().substring(RequestDispatcher.SERVICES_PATH.length() + name.length());
+    int prefix = RequestDispatcher.SERVICES_PATH.length() + name(request.path()).length();
+    String rest = request.path().substring(prefix);
     String path = rest.isEmpty() ? "/" : rest;
-    keyed.serve(
-        request,
-        answer,
-        (beforeSend, target) ->
-            new ServiceCourse(collaborators, request, service, path, beforeSend, target).run());
+    new ServiceCourse(collaborators, request, service, path, beforeSend, answer).run();
   }
 }
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ServingFixture.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ServingFixture.java
@@ -27,7 +27,9 @@
 import org.coltsfootvale.core.model.ModelId;
 import org.coltsfootvale.core.model.OrganisationId;
 import org.coltsfootvale.core.model.PoolId;
+import org.coltsfootvale.core.model.RouterIncarnation;
 import org.coltsfootvale.core.model.ServiceId;
+import org.coltsfootvale.core.placement.DefaultReplicaSelector;
 import org.coltsfootvale.core.placement.PlacementRequest;
 import org.coltsfootvale.core.release.EngineSpec;
 import org.coltsfootvale.core.release.FleetState;
@@ -45,10 +47,10 @@
 import org.coltsfootvale.router.request.Drain;
 import org.coltsfootvale.router.request.Forwarder;
 import org.coltsfootvale.router.request.KeyedRequests;
+import org.coltsfootvale.router.request.LeavingReplicas;
 import org.coltsfootvale.router.request.Pause;
 import org.coltsfootvale.router.request.PlainServices;
 import org.coltsfootvale.router.request.RequestDispatcher;
-import org.coltsfootvale.router.request.ServiceReplicas;
 import org.coltsfootvale.router.request.ServingMetrics;
 import org.coltsfootvale.router.request.ServingSettings;
 
@@ -64,7 +66,7 @@
   final StubEngine first = new StubEngine();
   final StubEngine second = new StubEngine();
   final StubService service = new StubService();
-  final Fakes.PlainOnce once = new Fakes.PlainOnce();
+  final Fakes.PlainOnce once;
   final Queue<String> membershipReports = new ConcurrentLinkedQueue<>();
   final Queue<PlacementRequest> placements = new ConcurrentLinkedQueue<>();
   final SimpleMeterRegistry registry = new SimpleMeterRegistry();
@@ -72,6 +74,7 @@
   final HttpClient client = HttpClient.newHttpClient();
   final RequestDispatcher dispatcher;
   final ServingMetrics metrics = new ServingMetrics(registry, drain);
+  final LeavingReplicas leaving = new LeavingReplicas(InstantSource.system());
   volatile boolean ready = true;
   volatile Forwarder forwarder =
       (home, request, answer) -> {
@@ -87,6 +90,11 @@
   }
 
   ServingFixture(int tokenTimeoutMillis) throws IOException {
+    this(tokenTimeoutMillis, Fakes.SELF);
+  }
+
+  ServingFixture(int tokenTimeoutMillis, RouterIncarnation self) throws IOException {
+    once = new Fakes.PlainOnce(self);
     watchdog.start();
     BackendSettings backend =
         new BackendSettings(1_000, 20_000, tokenTimeoutMillis, 20_000, 5_000, 16);
@@ -135,7 +143,8 @@
         new PlainServices(
             new PlainServices.Collaborators(
                 () -> fleet,
-                new ServiceReplicas(HERE, breakers),
+                new DefaultReplicaSelector(() -> fleet, leaving, breakers, 1),
+                leaving,
                 admission,
                 new Fakes.AtOnce(),
                 breakers,
