--- /dev/null
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/spec/ModelChecker.java
@@ -0,0 +1,118 @@
+package org.coltsfootvale.verify.spec;
+
+import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.coltsfootvale.core.support.Checks;
+
+/** Runs TLC on a specification in a Java process of its own, since TLC keeps static state. */
+public final class ModelChecker {
+
+  private static final Pattern INVARIANT = Pattern.compile("Invariant (\\w+) is violated");
+  private static final Pattern DISTINCT = Pattern.compile("([0-9]+) distinct states found, 0");
+  private static final String NO_ERROR = "No error has been found";
+  private static final String HEAP = "-Xmx1g";
+  private static final String WORKERS = "2";
+
+  private final Path directory;
+
+  /** Creates a checker for the specifications of a directory. */
+  public ModelChecker(Path directory) {
+    this.directory = directory.toAbsolutePath();
+  }
+
+  /**
+   * Checks a specification exhaustively.
+   *
+   * @param module the name of the module file without its suffix
+   * @param configuration the name of the configuration file without its suffix
+   * @param constants values that replace those of the configuration, by constant
+   * @throws IllegalArgumentException if the configuration lacks one of the constants
+   */
+  public CheckResult check(String module, String configuration, Map<String, String> constants) {
+    try {
+      Path work = Files.createTempDirectory("model-check");
+      try {
+        Path config = work.resolve("check.cfg");
+        String text = Files.readString(directory.resolve(configuration + ".cfg"));
+        Files.writeString(config, replace(text, constants));
+        return result(run(module, config, work));
+      } finally {
+        delete(work);
+      }
+    } catch (IOException e) {
+      throw new IllegalStateException("the specification " + module + " cannot be checked", e);
+    }
+  }
+
+  private static String replace(String text, Map<String, String> constants) {
+    String replaced = text;
+    for (Map.Entry<String, String> constant : constants.entrySet()) {
+      Pattern line = Pattern.compile("(?m)^  " + Pattern.quote(constant.getKey()) + " = .*$");
+      Matcher matcher = line.matcher(replaced);
+      Checks.argument(matcher.find(), "the configuration has no constant %s", constant.getKey());
+      replaced = matcher.replaceAll("  " + constant.getKey() + " = " + constant.getValue());
+    }
+    return replaced;
+  }
+
+  private String run(String module, Path config, Path work) throws IOException {
+    ProcessBuilder builder =
+        new ProcessBuilder(
+            List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                HEAP,
+                "-XX:+UseParallelGC",
+                "-cp",
+                libraryPath(),
+                "tlc2.TLC",
+                "-workers",
+                WORKERS,
+                "-metadir",
+                work.resolve("states").toString(),
+                "-config",
+                config.toString(),
+                directory.resolve(module + ".tla").toString()));
+    Process process = builder.directory(work.toFile()).redirectErrorStream(true).start();
+    try (var output = process.getInputStream()) {
+      return new String(output.readAllBytes(), StandardCharsets.UTF_8);
+    } finally {
+      process.destroy();
+    }
+  }
+
+  private static CheckResult result(String output) {
+    Matcher invariant = INVARIANT.matcher(output);
+    Matcher distinct = DISTINCT.matcher(output);
+    return new CheckResult(
+        output.contains(NO_ERROR),
+        invariant.find() ? invariant.group(1) : null,
+        distinct.find() ? Long.parseLong(distinct.group(1)) : 0,
+        output);
+  }
+
+  private static String libraryPath() {
+    try {
+      return Path.of(tlc2.TLC.class.getProtectionDomain().getCodeSource().getLocation().toURI())
+          .toString();
+    } catch (URISyntaxException e) {
+      throw new IllegalStateException("the model checker's library cannot be found", e);
+    }
+  }
+
+  private static void delete(Path directory) throws IOException {
+    try (Stream<Path> paths = Files.walk(directory)) {
+      for (Path path : paths.sorted(Comparator.reverseOrder()).toList()) {
+        Files.deleteIfExists(path);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/spec/package-info.java
@@ -0,0 +1,5 @@
+/** Checks the TLA+ specifications with TLC. */
+@NullMarked
+package org.coltsfootvale.verify.spec;
+
+import org.jspecify.annotations.NullMarked;
