Add to the seam: OnceRegistry.tick, by which a router notices its own pause

Cause: the model of claims runs a key twice if a router that was stopped longer than a claim lasts takes up a request that waited. Ruled out: longer claims alone (a pause has no bound). Change: a default method; a registry that is never ticked judges nothing.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/OnceRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/OnceRegistry.java
@@ -13,6 +13,13 @@
    */
   OnceDecision begin(IdempotencyKey key, long fingerprint);
 
+  /**
+   * Records that this process is running; to be called once a second. After a gap of several
+   * seconds keys without a home are not claimed for a while, for their requests may have waited
+   * longer than other routers' claims lasted.
+   */
+  default void tick() {}
+
   /** Returns how many keys are held. */
   int size();
 }
