Refuse to claim keys directly after a pause of the process

Change: PauseDetector; after a gap of more than pauseMax between two ticks, keys without a home are answered as unknown until the requests that waited are gone. Figures: the test runs the key twice without the safeguard, once with it. Conclusion: the daemon has to call tick once a second.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/DefaultOnceRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/DefaultOnceRegistry.java
@@ -32,6 +32,7 @@
   private final InstantSource clock;
   private final LongSupplier monotonicNanos;
   private final OnceLimits limits;
+  private final PauseDetector pauses;
   private final List<KeyShard> shards;
   private final AtomicLong attempts = new AtomicLong();
 
@@ -58,6 +59,7 @@
     this.clock = clock;
     this.monotonicNanos = monotonicNanos;
     this.limits = limits;
+    this.pauses = new PauseDetector(limits.pauseMax(), monotonicNanos);
     int keysPerShard = Math.max(1, limits.keysMax() / SHARDS);
     long bytesPerShard = limits.storedBytesMax() / SHARDS;
     this.shards =
@@ -76,6 +78,11 @@
     return forward(home);
   }
 
+  @Override
+  public void tick() {
+    pauses.tick();
+  }
+
   @Override
   public int size() {
     int size = 0;
@@ -134,6 +141,7 @@
       if (found != null && found.state != KeyEntry.State.UNCERTAIN) {
         return resume(found);
       }
+      refuseAfterPause();
       entry = found == null ? newEntry(shard, id, fingerprint, now.plus(claimMemory())) : found;
       entry.state = KeyEntry.State.CLAIMING;
       entry.claim = new CompletableFuture<>();
@@ -141,6 +149,14 @@
     return claim(key, shard, entry);
   }
 
+  private void refuseAfterPause() {
+    if (pauses.suspicious()) {
+      throw ColtsfootvaleException.unknown(
+          ErrorKind.HOME_LOST,
+          "This router was paused; whether another one has run the key meanwhile is not known.");
+    }
+  }
+
   private OnceDecision claim(IdempotencyKey key, KeyShard shard, KeyEntry entry) {
     CompletableFuture<OnceDecision> decision = entry.claim;
     claims
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
@@ -167,6 +167,33 @@
         expectThrows(ColtsfootvaleException.class, paused::beforeSend).outcome(), Outcome.NOT_RUN);
   }
 
+  @Test
+  public void aRouterThatWasPausedLongerThanAClaimDoesNotClaimARequestThatWaited() {
+    assertEquals(runsAfterALongPause(true), 1);
+  }
+
+  @Test
+  public void withoutNoticingItsPauseTheRouterWouldRunTheKeyAgain() {
+    assertEquals(runsAfterALongPause(false), 2);
+  }
+
+  private int runsAfterALongPause(boolean noticesPause) {
+    DefaultOnceRegistry other = registry(ROUTER_B);
+    DefaultOnceRegistry paused = registry(ROUTER_A);
+    if (noticesPause) {
+      paused.tick();
+    }
+    run(claimed(other.begin(plainKey(), 7))).finished(ANSWER);
+    pause(Duration.ofHours(1));
+    try {
+      run(claimed(paused.begin(plainKey(), 7))).beforeSend();
+      return 2;
+    } catch (ColtsfootvaleException e) {
+      assertEquals(e.outcome(), Outcome.UNKNOWN);
+      return 1;
+    }
+  }
+
   @Test
   public void anOutageRefusesAKeyWithoutHomeAndNoOther() {
     DefaultOnceRegistry router = registry(ROUTER_A);
