--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/AppliedNotes.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/AppliedNotes.java
@@ -17,8 +17,9 @@
 final class AppliedNotes {
 
   private final FleetStateReducer reducer;
+  private final int retainedMax;
   private final Object lock = new Object();
-  private final List<AcceptedNote> retained = new ArrayList<>();
+  private final ArrayDeque<AcceptedNote> retained = new ArrayDeque<>();
   private final Map<String, AcceptedNote> byId = new HashMap<>();
   private final Queue<FleetState> undelivered = new ArrayDeque<>();
   private final List<Consumer<FleetState>> listeners = new CopyOnWriteArrayList<>();
@@ -26,10 +27,13 @@
   private boolean heardAny;
   private long highestHeard;
   private volatile boolean ready;
+  private FleetState base = FleetState.empty();
   private volatile FleetState current = FleetState.empty();
 
-  AppliedNotes(FleetStateReducer reducer) {
+  /** Creates an empty log that retains a number of notes. */
+  AppliedNotes(FleetStateReducer reducer, int retainedMax) {
     this.reducer = reducer;
+    this.retainedMax = retainedMax;
   }
 
   FleetState current() {
@@ -44,21 +48,45 @@
     return ready;
   }
 
-  /** Applies a note if it is the next one; ignores any other. */
+  /** Applies a note if it is the next one, or a snapshot if it is newer; ignores any other. */
   void apply(AcceptedNote note) {
     synchronized (lock) {
-      if (note.revision() != current.revision() + 1) {
-        return;
+      if (FleetSnapshots.isSnapshot(note.note())) {
+        applySnapshot(note);
+      } else {
+        applyNext(note);
       }
-      current = reducer.apply(current, note.note());
-      retained.add(note);
-      byId.put(note.note().id(), note);
-      undelivered.add(current);
       updateReady();
     }
     deliver();
   }
 
+  private void applySnapshot(AcceptedNote snapshot) {
+    if (snapshot.revision() <= current.revision()) {
+      return;
+    }
+    current = FleetSnapshots.state(snapshot);
+    base = current;
+    retained.clear();
+    byId.clear();
+    undelivered.add(current);
+  }
+
+  private void applyNext(AcceptedNote note) {
+    if (note.revision() != current.revision() + 1) {
+      return;
+    }
+    current = reducer.apply(current, note.note());
+    retained.add(note);
+    byId.put(note.note().id(), note);
+    undelivered.add(current);
+    if (retained.size() > retainedMax) {
+      AcceptedNote oldest = retained.remove();
+      base = reducer.apply(base, oldest.note());
+      byId.remove(oldest.note().id(), oldest);
+    }
+  }
+
   /** Records that the platform's log was read to its end. */
   void onPlatformRead() {
     synchronized (lock) {
@@ -82,18 +110,15 @@
     }
   }
 
+  /** Returns retained notes; first the snapshot behind them if older ones are asked for. */
   List<AcceptedNote> notesAfter(long revision, int limit) {
     synchronized (lock) {
-      if (retained.isEmpty()) {
-        return List.of();
-      }
-      long first = retained.get(0).revision();
-      long from = Math.max(0, revision + 1 - first);
-      if (from >= retained.size()) {
-        return List.of();
+      List<AcceptedNote> notes = new ArrayList<>();
+      if (revision < base.revision()) {
+        notes.add(FleetSnapshots.of(base));
       }
-      long to = Math.min(retained.size(), from + limit);
-      return List.copyOf(retained.subList((int) from, (int) to));
+      retained.stream().filter(note -> note.revision() > revision).limit(limit).forEach(notes::add);
+      return notes.subList(0, Math.min(limit, notes.size()));
     }
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/DefaultFleetStateReducer.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/DefaultFleetStateReducer.java
@@ -65,6 +65,9 @@
     } catch (IllegalArgumentException e) {
       throw NoteFaults.invalid("The note's " + e.getMessage() + ".", e);
     }
+    if (FleetSnapshots.isSnapshot(note)) {
+      throw invalid("The id '" + note.id() + "' is reserved; choose another one.");
+    }
     if (note.added().policy() != null) {
       throw invalid("The policy may stand only under 'changed'.");
     }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/DefaultReleaseLog.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/DefaultReleaseLog.java
@@ -13,7 +13,6 @@
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.error.Failures;
 import org.coltsfootvale.core.error.Outcome;
-import org.coltsfootvale.core.platform.KeyValue;
 import org.coltsfootvale.core.platform.KeyValueStore;
 import org.coltsfootvale.core.platform.PlatformException;
 import org.jspecify.annotations.Nullable;
@@ -25,10 +24,9 @@
  */
 public final class DefaultReleaseLog implements ReleaseLog {
 
-  /** The prefix of the keys of accepted notes. */
-  public static final String NOTES_PREFIX = "coltsfootvale/notes/";
+  /** The prefix of the keys of accepted notes; a watch on it tells of new ones. */
+  public static final String NOTES_PREFIX = NoteKeys.NOTES;
 
-  private static final int PAGE_NOTES = 100;
   private static final int RACES_MAX = 64;
   private static final int PLATFORM_FAILURES_MAX = 3;
   private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
@@ -37,16 +35,32 @@
   private final ReleaseNoteCodec codec;
   private final FleetStateReducer reducer;
   private final InstantSource clock;
+  private final ReleaseLogLimits limits;
   private final AppliedNotes applied;
+  private final NoteReader reader;
+  private final NoteCompaction compaction;
 
-  /** Creates an empty log that is not ready. */
+  /** Creates an empty log with the default bounds that is not ready. */
   public DefaultReleaseLog(
       KeyValueStore store, ReleaseNoteCodec codec, FleetStateReducer reducer, InstantSource clock) {
+    this(store, codec, reducer, clock, ReleaseLogLimits.DEFAULT);
+  }
+
+  /** Creates an empty log that is not ready. */
+  public DefaultReleaseLog(
+      KeyValueStore store,
+      ReleaseNoteCodec codec,
+      FleetStateReducer reducer,
+      InstantSource clock,
+      ReleaseLogLimits limits) {
     this.store = store;
     this.codec = codec;
     this.reducer = reducer;
     this.clock = clock;
-    this.applied = new AppliedNotes(reducer);
+    this.limits = limits;
+    this.applied = new AppliedNotes(reducer, limits.notesRetained() + limits.snapshotInterval());
+    this.reader = new NoteReader(store, codec, applied);
+    this.compaction = new NoteCompaction(store, codec, limits);
   }
 
   @Override
@@ -77,7 +91,7 @@
 
   @Override
   public CompletableFuture<Long> refresh() {
-    return readFrom(applied.revision() + 1);
+    return reader.read();
   }
 
   @Override
@@ -98,35 +112,17 @@
     applied.addListener(listener);
   }
 
-  /** Returns the platform's key of a revision. */
-  static String noteKey(long revision) {
-    return String.format("%s%012d", NOTES_PREFIX, revision);
-  }
-
-  private CompletableFuture<Long> readFrom(long revision) {
-    return store
-        .list(NOTES_PREFIX, noteKey(revision), PAGE_NOTES)
-        .thenCompose(page -> applyPage(revision, page));
-  }
-
-  private CompletableFuture<Long> applyPage(long revision, List<KeyValue> page) {
-    long next = revision;
-    for (KeyValue entry : page) {
-      AcceptedNote note = codec.read(entry.value());
-      if (note.revision() != next || !entry.key().equals(noteKey(next))) {
-        throw new ColtsfootvaleException(
-            ErrorKind.INTERNAL,
-            Outcome.NOT_RUN,
-            "The release log lacks revision " + next + "; restore it in the platform's service.");
-      }
-      applied.apply(note);
-      next++;
-    }
-    if (page.size() == PAGE_NOTES) {
-      return readFrom(next);
+  private void checkSize(FleetState state) {
+    int bytes = codec.write(FleetSnapshots.of(state)).length;
+    if (bytes > limits.stateBytesMax()) {
+      throw NoteFaults.invalid(
+          "The fleet's state would take "
+              + bytes
+              + " bytes, but at most "
+              + limits.stateBytesMax()
+              + " are possible; withdraw what is no longer needed.",
+          null);
     }
-    applied.onPlatformRead();
-    return CompletableFuture.completedFuture(applied.revision());
   }
 
   /** One submission: retried until the note is committed, refused, or the platform fails. */
@@ -151,20 +147,24 @@
         return CompletableFuture.completedFuture(same(known.get()));
       }
       FleetState base = applied.current();
-      reducer.apply(base, note);
+      FleetState next = reducer.apply(base, note);
+      checkSize(next);
       Instant now = clock.instant().truncatedTo(ChronoUnit.MILLIS);
       AcceptedNote candidate = new AcceptedNote(base.revision() + 1, note, now);
       return guard(
           store
               .createIfAbsent(
-                  noteKey(candidate.revision()), codec.write(candidate), KeyValueStore.NO_LEASE)
-              .thenCompose(created -> settle(candidate, created)));
+                  NoteKeys.note(candidate.revision()),
+                  codec.write(candidate),
+                  KeyValueStore.NO_LEASE)
+              .thenCompose(created -> settle(candidate, next, created)));
     }
 
-    private CompletableFuture<AcceptedNote> settle(AcceptedNote candidate, OptionalLong created) {
+    private CompletableFuture<AcceptedNote> settle(
+        AcceptedNote candidate, FleetState next, OptionalLong created) {
       if (created.isPresent()) {
-        applied.apply(candidate);
-        return CompletableFuture.completedFuture(candidate);
+        mayBeCommitted = true;
+        return reader.horizon().thenCompose(horizon -> confirm(candidate, next, horizon));
       }
       if (++races > RACES_MAX) {
         throw ColtsfootvaleException.notRun(
@@ -173,6 +173,16 @@
       return run();
     }
 
+    private CompletableFuture<AcceptedNote> confirm(
+        AcceptedNote candidate, FleetState next, long horizon) {
+      if (horizon >= candidate.revision()) {
+        return run();
+      }
+      applied.apply(candidate);
+      compaction.afterCommit(next);
+      return CompletableFuture.completedFuture(candidate);
+    }
+
     private AcceptedNote same(AcceptedNote known) {
       if (!known.note().equals(note)) {
         throw ColtsfootvaleException.notRun(
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/NoteCompaction.java
@@ -0,0 +1,111 @@
+package org.coltsfootvale.core.release;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.coltsfootvale.core.platform.KeyValue;
+import org.coltsfootvale.core.platform.KeyValueStore;
+
+/**
+ * Keeps the log in the platform bounded: writes snapshots, moves the horizon up to an old one, and
+ * then deletes the notes up to it. Every step may fail or be cut off; a later one makes up for it.
+ */
+final class NoteCompaction {
+
+  private static final int PAGE_NOTES = 100;
+
+  private final KeyValueStore store;
+  private final ReleaseNoteCodec codec;
+  private final ReleaseLogLimits limits;
+
+  NoteCompaction(KeyValueStore store, ReleaseNoteCodec codec, ReleaseLogLimits limits) {
+    this.store = store;
+    this.codec = codec;
+    this.limits = limits;
+  }
+
+  /** Compacts the log if a snapshot is due at this state; never fails. */
+  CompletableFuture<Void> afterCommit(FleetState state) {
+    if (state.revision() % limits.snapshotInterval() != 0) {
+      return CompletableFuture.completedFuture(null);
+    }
+    long horizon = state.revision() - limits.notesRetained();
+    return store
+        .createIfAbsent(
+            NoteKeys.snapshot(state.revision()),
+            codec.write(FleetSnapshots.of(state)),
+            KeyValueStore.NO_LEASE)
+        .thenCompose(created -> moveHorizon(horizon))
+        .exceptionally(failure -> null);
+  }
+
+  private CompletableFuture<Void> moveHorizon(long horizon) {
+    if (horizon <= 0) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return store
+        .get(NoteKeys.snapshot(horizon))
+        .thenCompose(
+            snapshot ->
+                snapshot.isEmpty()
+                    ? CompletableFuture.completedFuture(null)
+                    : store
+                        .get(NoteKeys.HORIZON)
+                        .thenCompose(present -> writeHorizon(horizon, present)));
+  }
+
+  private CompletableFuture<Void> writeHorizon(long horizon, Optional<KeyValue> present) {
+    long before = NoteReader.horizonOf(present);
+    if (before >= horizon) {
+      return CompletableFuture.completedFuture(null);
+    }
+    byte[] value = Long.toString(horizon).getBytes(StandardCharsets.UTF_8);
+    CompletableFuture<Boolean> written =
+        present.isEmpty()
+            ? store
+                .createIfAbsent(NoteKeys.HORIZON, value, KeyValueStore.NO_LEASE)
+                .thenApply(revision -> revision.isPresent())
+            : store
+                .compareAndSwap(
+                    NoteKeys.HORIZON, value, present.get().modRevision(), KeyValueStore.NO_LEASE)
+                .thenApply(revision -> revision.isPresent());
+    return written.thenCompose(
+        ours ->
+            ours
+                ? deleteNotes(horizon).thenCompose(done -> deleteSnapshot(before))
+                : CompletableFuture.completedFuture(null));
+  }
+
+  private CompletableFuture<Void> deleteNotes(long horizon) {
+    return store
+        .list(NoteKeys.NOTES, NoteKeys.NOTES, PAGE_NOTES)
+        .thenCompose(page -> deletePage(page, horizon));
+  }
+
+  private CompletableFuture<Void> deletePage(List<KeyValue> page, long horizon) {
+    String last = NoteKeys.note(horizon);
+    List<KeyValue> old = page.stream().filter(entry -> entry.key().compareTo(last) <= 0).toList();
+    CompletableFuture<Void> deleted = CompletableFuture.completedFuture(null);
+    for (KeyValue entry : old) {
+      deleted =
+          deleted
+              .thenCompose(done -> store.delete(entry.key(), entry.modRevision()))
+              .thenAccept(done -> {});
+    }
+    boolean more = old.size() == PAGE_NOTES;
+    return more ? deleted.thenCompose(done -> deleteNotes(horizon)) : deleted;
+  }
+
+  private CompletableFuture<Void> deleteSnapshot(long revision) {
+    String key = NoteKeys.snapshot(revision);
+    return store
+        .get(key)
+        .thenCompose(
+            found ->
+                found.isEmpty()
+                    ? CompletableFuture.completedFuture(false)
+                    : store.delete(key, found.get().modRevision()))
+        .thenAccept(done -> {});
+  }
+}
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/ReleaseLog.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/ReleaseLog.java
@@ -44,7 +44,10 @@
   /** Applies notes received from a peer; ignores those already applied or out of order. */
   void applyFromPeer(List<AcceptedNote> notes);
 
-  /** Returns retained notes after a revision, oldest first, at most {@code limit}. */
+  /**
+   * Returns retained notes after a revision, oldest first, at most {@code limit}. If older ones are
+   * no longer retained, the first is a snapshot, which {@link #applyFromPeer} takes as well.
+   */
   List<AcceptedNote> notesAfter(long revision, int limit);
 
   /** Adds a listener that is called with each newly applied state. */
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/release/DefaultReleaseLogTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/release/DefaultReleaseLogTest.java
@@ -115,6 +115,69 @@
     assertEquals(fresh.current().models().get(new ModelId("m1")), new ModelSpec(M1, 5));
   }
 
+  @Test
+  public void anOldLogIsCompactedAndReadFromItsSnapshot() {
+    DefaultReleaseLog writer = smallLog();
+    submitModels(writer, 1, 13);
+    assertTrue(store.keys(NoteKeys.NOTES).size() <= 8, store.keys(NoteKeys.NOTES).toString());
+    DefaultReleaseLog fresh = smallLog();
+    assertEquals(fresh.refresh().join().longValue(), 13);
+    assertEquals(fresh.current(), writer.current());
+    assertTrue(fresh.ready());
+    assertEquals(fresh.submit(Notes.model("n13", "m13")).join().revision(), 13);
+  }
+
+  @Test
+  public void aPeerStartsFromTheSnapshotOfAnother() {
+    DefaultReleaseLog writer = smallLog();
+    submitModels(writer, 1, 13);
+    DefaultReleaseLog fresh = smallLog();
+    fresh.applyFromPeer(writer.notesAfter(0, 100));
+    assertEquals(fresh.current(), writer.current());
+  }
+
+  @Test
+  public void aWriterThatWasPausedCannotCommitBelowTheHorizon() {
+    DefaultReleaseLog writer = smallLog();
+    DefaultReleaseLog paused = smallLog();
+    submitModels(writer, 1, 1);
+    store.setFault(Fault.HOLD_REPLIES);
+    CompletableFuture<AcceptedNote> late = paused.submit(Notes.model("late", "m-late"));
+    store.setFault(Fault.NONE);
+    submitModels(writer, 2, 13);
+    store.releaseHeld();
+    assertEquals(late.join().revision(), 14);
+    assertEquals(writer.refresh().join().longValue(), 14);
+    assertEquals(writer.current(), paused.current());
+  }
+
+  @Test
+  public void aStateTooLargeForASnapshotIsRefused() {
+    DefaultReleaseLog log =
+        new DefaultReleaseLog(
+            store,
+            new YamlReleaseNoteCodec(),
+            new DefaultFleetStateReducer(),
+            () -> Instant.EPOCH,
+            new ReleaseLogLimits(4, 4, 100));
+    assertRefused(log.submit(Notes.fleet()), ErrorKind.INVALID_NOTE);
+  }
+
+  private static void submitModels(DefaultReleaseLog log, int from, int to) {
+    for (int i = from; i <= to; i++) {
+      log.submit(Notes.model("n" + i, "m" + i)).join();
+    }
+  }
+
+  private DefaultReleaseLog smallLog() {
+    return new DefaultReleaseLog(
+        store,
+        new YamlReleaseNoteCodec(),
+        new DefaultFleetStateReducer(),
+        () -> Instant.ofEpochMilli(1000),
+        new ReleaseLogLimits(4, 4, 900_000));
+  }
+
   private static final ErrorKind PLATFORM = ErrorKind.PLATFORM_UNAVAILABLE;
   private static final ModelId M1 = new ModelId("m1");
 
