Measure membership and gossip of whole fleets in virtual time

Cause: no figures for bytes, processor time and spread. Ruled out: processes on loopback, which would measure the machine. Change: command 'slopes' with the real membership, gossip and encoding; the store answers for single routers so that gossip builds no whole views.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/DefaultGossip.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/DefaultGossip.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -152,13 +151,11 @@
       return;
     }
     selectedAtChange = change;
-    Set<RouterId> peers = selector.select(self, liveRouters());
-    Map<RouterId, RouterView> routers = store.view().routers();
-    links
-        .entrySet()
-        .removeIf(link -> link.getValue().incarnation != number(routers, link.getKey()));
+    List<RouterView> routers = notDead();
+    Set<RouterId> peers = selector.select(self, routers);
+    links.entrySet().removeIf(link -> link.getValue().incarnation != incarnation(link.getKey()));
     for (RouterId peer : peers) {
-      long incarnation = number(routers, peer);
+      long incarnation = incarnation(peer);
       links.computeIfAbsent(peer, key -> new GossipLink(true, incarnation, now)).chosen = true;
     }
     for (Map.Entry<RouterId, GossipLink> link : links.entrySet()) {
@@ -170,9 +167,8 @@
     links.values().removeIf(link -> !link.chosen && link.heardAt.isBefore(oldest));
   }
 
-  private List<RouterView> liveRouters() {
-    Collection<RouterView> routers = store.view().routers().values();
-    return routers.stream().filter(router -> router.liveness() != Liveness.DEAD).toList();
+  private List<RouterView> notDead() {
+    return store.routers().stream().filter(router -> router.liveness() != Liveness.DEAD).toList();
   }
 
   /** A router that was paused itself must not blame its peers for the silence. */
@@ -196,19 +192,20 @@
     if (!links.containsKey(from) && links.size() >= INBOUND_LINKS_MAX) {
       links.values().removeIf(link -> !link.chosen);
     }
-    long incarnation = number(store.view().routers(), from);
+    long incarnation = incarnation(from);
     return links.computeIfAbsent(from, key -> new GossipLink(false, incarnation, now));
   }
 
-  private static long number(Map<RouterId, RouterView> routers, RouterId router) {
-    RouterView view = routers.get(router);
-    return view == null ? 0 : view.router().number();
+  private long incarnation(RouterId router) {
+    return store.router(router).map(view -> view.router().number()).orElse(0L);
   }
 
   private boolean isThoughtDead(RouterId router) {
-    RouterView view = store.view().routers().get(router);
-    return view != null
-        && (view.liveness() == Liveness.DEAD || view.liveness() == Liveness.SUSPECT);
+    return store
+        .router(router)
+        .map(RouterView::liveness)
+        .filter(liveness -> liveness == Liveness.DEAD || liveness == Liveness.SUSPECT)
+        .isPresent();
   }
 
   private boolean isDue(GossipLink link, Instant now) {
@@ -287,7 +284,7 @@
     }
     probedAt = now;
     List<RouterId> dead =
-        store.view().routers().values().stream()
+        store.routers().stream()
             .filter(router -> router.liveness() == Liveness.DEAD)
             .map(router -> router.router().id())
             .sorted()
@@ -305,11 +302,7 @@
 
   private List<HostPort> unknownSeeds() {
     Set<HostPort> known = new HashSet<>();
-    for (RouterView router : store.view().routers().values()) {
-      if (router.liveness() != Liveness.DEAD) {
-        known.add(router.peerAddress());
-      }
-    }
+    notDead().forEach(router -> known.add(router.peerAddress()));
     return seeds.get().stream().filter(seed -> !known.contains(seed)).toList();
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/EntryStore.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/EntryStore.java
@@ -2,15 +2,18 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.coltsfootvale.core.model.FleetView;
 import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.model.RouterView;
 import org.jspecify.annotations.Nullable;
 
 /** The versioned entries that gossip spreads, in the order of their last change. Thread-safe. */
 public interface EntryStore {
 
-  /** Returns the view that the entries make up. */
-  FleetView view();
+  /** Returns the known routers, this one among them. */
+  List<RouterView> routers();
+
+  /** Returns a router, or empty if it is unknown. */
+  Optional<RouterView> router(RouterId id);
 
   /** Returns the newest release revision that this router has applied. */
   long appliedRevision();
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/ChangeLog.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/ChangeLog.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.TreeMap;
 import org.coltsfootvale.core.gossip.EntryClass;
 import org.jspecify.annotations.Nullable;
@@ -15,7 +16,8 @@
  */
 final class ChangeLog {
 
-  private final Map<EntryClass, TreeMap<Long, Subject>> order = new EnumMap<>(EntryClass.class);
+  private final Map<EntryClass, NavigableMap<Long, Subject>> order =
+      new EnumMap<>(EntryClass.class);
   private final Map<EntryClass, Map<Subject, Long>> positions = new EnumMap<>(EntryClass.class);
   private long sequence;
 
@@ -66,14 +68,14 @@
 
   /** Returns the number of subjects of a class after a position. */
   int countAfter(EntryClass entryClass, long position) {
-    TreeMap<Long, Subject> subjects = orderOf(entryClass);
+    NavigableMap<Long, Subject> subjects = orderOf(entryClass);
     if (subjects.isEmpty() || subjects.lastKey() <= position) {
       return 0;
     }
     return subjects.tailMap(position, false).size();
   }
 
-  private TreeMap<Long, Subject> orderOf(EntryClass entryClass) {
+  private NavigableMap<Long, Subject> orderOf(EntryClass entryClass) {
     return known(order.get(entryClass));
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/DefaultMembership.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/DefaultMembership.java
@@ -20,6 +20,7 @@
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.model.RouterId;
 import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.model.RouterView;
 import org.coltsfootvale.core.release.FleetState;
 import org.jspecify.annotations.Nullable;
 
@@ -197,6 +198,20 @@
     }
   }
 
+  @Override
+  public List<RouterView> routers() {
+    synchronized (lock) {
+      return List.copyOf(routers.views().values());
+    }
+  }
+
+  @Override
+  public Optional<RouterView> router(RouterId id) {
+    synchronized (lock) {
+      return Optional.ofNullable(routers.find(id)).map(RouterRecord::view);
+    }
+  }
+
   @Override
   public long appliedRevision() {
     synchronized (lock) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/LoadQuantiser.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/LoadQuantiser.java
@@ -33,7 +33,7 @@
   }
 
   private static boolean differs(long before, long after, double relativeChange, long floor) {
-    double change = Math.abs(after - before);
+    double change = (double) Math.abs(after - before);
     return change > Math.max(floor, relativeChange * Math.max(before, after));
   }
 }
--- /dev/null
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/slopes/GossipFactory.java
@@ -0,0 +1,61 @@
+package org.coltsfootvale.verify.slopes;
+
+import java.time.InstantSource;
+import java.util.List;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.coltsfootvale.core.gossip.DefaultGossip;
+import org.coltsfootvale.core.gossip.EntryStore;
+import org.coltsfootvale.core.gossip.Gossip;
+import org.coltsfootvale.core.gossip.GossipOptions;
+import org.coltsfootvale.core.gossip.MeshPeerSelector;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.protocol.GossipCodec;
+
+/** Creates the gossip of one router. */
+@FunctionalInterface
+public interface GossipFactory {
+
+  /** Creates the gossip. */
+  Gossip create(
+      RouterIncarnation self,
+      EntryStore store,
+      Supplier<List<HostPort>> seeds,
+      InstantSource clock,
+      UniformRandomProvider random);
+
+  /** Returns the gossip that routers run. */
+  static GossipFactory mesh() {
+    return (self, store, seeds, clock, random) ->
+        new DefaultGossip(
+            self,
+            store,
+            GossipOptions.DEFAULT,
+            new GossipCodec(),
+            new MeshPeerSelector(FleetShape::region),
+            seeds,
+            clock,
+            random);
+  }
+
+  /** Returns the same gossip over links that do not regard data centres. */
+  static GossipFactory randomLinks() {
+    return (self, store, seeds, clock, random) ->
+        new DefaultGossip(
+            self,
+            store,
+            GossipOptions.DEFAULT,
+            new GossipCodec(),
+            new RandomLinkSelector(),
+            seeds,
+            clock,
+            random);
+  }
+
+  /** Returns gossip with uniform random peers. */
+  static GossipFactory uniform() {
+    return (self, store, seeds, clock, random) ->
+        new UniformGossip(self, store, new GossipCodec(), clock, random);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/slopes/SlopesCommand.java
@@ -0,0 +1,35 @@
+package org.coltsfootvale.verify.slopes;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Prints a table of what membership and gossip cost at several sizes of the fleet. */
+public final class SlopesCommand {
+
+  private static final long SEED = 4;
+
+  private SlopesCommand() {}
+
+  /**
+   * Runs the command.
+   *
+   * @param args {@code [routersMax [seed]]}
+   */
+  public static void run(String... args) {
+    int routersMax = args.length > 0 ? Integer.parseInt(args[0]) : Integer.MAX_VALUE;
+    long seed = args.length > 1 ? Long.parseLong(args[1]) : SEED;
+    Map<String, GossipFactory> kinds = new LinkedHashMap<>();
+    kinds.put("mesh", GossipFactory.mesh());
+    kinds.put("random links", GossipFactory.randomLinks());
+    kinds.put("uniform", GossipFactory.uniform());
+    System.out.println(SlopeRow.HEADING);
+    for (FleetShape shape : FleetShape.SIZES) {
+      if (shape.routers() <= routersMax) {
+        kinds.forEach(
+            (name, factory) ->
+                System.out.println(
+                    new SlopeMeasurement(name, shape, factory, seed).run().toMarkdown()));
+      }
+    }
+  }
+}
