--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import org.coltsfootvale.verify.policy.PolicyCommand;
+import org.coltsfootvale.verify.slopes.SlopesCommand;
 
 /** Starts a measurement, a trace replay or a specification check by its name. */
 public final class VerifyMain {
@@ -20,10 +21,18 @@
     String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
     return switch (command) {
       case "policy" -> new PolicyCommand(System.out).run(rest);
-      default -> {
-        System.out.println("commands: policy");
-        yield EXIT_USAGE;
-      }
+      case "slopes" -> slopes(rest);
+      default -> usage();
     };
   }
+
+  private static int slopes(String[] args) {
+    SlopesCommand.run(args);
+    return 0;
+  }
+
+  private static int usage() {
+    System.err.println("commands: policy | slopes [routersMax [seed]]");
+    return EXIT_USAGE;
+  }
 }
