--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/TestkitMain.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/TestkitMain.java
@@ -1,12 +1,18 @@
 package org.coltsfootvale.testkit;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.InstantSource;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.commons.cli.ParseException;
+import org.coltsfootvale.testkit.caller.CallersProgram;
+import org.coltsfootvale.testkit.caller.Plan;
 import org.coltsfootvale.testkit.engine.EngineOptions;
 import org.coltsfootvale.testkit.engine.EngineStandIn;
 import org.coltsfootvale.testkit.platform.PlatformOptions;
@@ -18,6 +24,7 @@
 public final class TestkitMain {
 
   private static final int EXIT_USAGE = 2;
+  private static final int EXIT_BROKEN = 1;
   private static final List<Logger> LIBRARY_LOGGERS =
       List.of(Logger.getLogger("io.javalin"), Logger.getLogger("org.eclipse.jetty"));
   private static final String USAGE =
@@ -30,7 +37,8 @@
                  [--import 100000] [--load-lag-millis 500] [--event-lag-millis 1000]
                  [--event-gap-every 50] [--fencing true] [--time-scale 1]
         service  --port N [--id service] [--work-millis 5]
-        callers  --plan FILE --entry http://ip:port[,...]
+        callers  --plan FILE --entry http://ip:port[,...] [--operator-token TEXT]
+                 [--duration-seconds N]
       Port 0 takes any free port; the bound one is printed.
       """;
 
@@ -57,6 +65,7 @@
       case "platform" -> serve(platform(arguments));
       case "engine" -> serve(engine(arguments));
       case "service" -> serve(service(arguments));
+      case "callers" -> call(arguments);
       case "--help", "help" -> System.out.print(USAGE);
       default -> throw new ParseException("there is no program '" + program + "'");
     }
@@ -106,15 +115,15 @@
         new EngineOptions(
             usual.id(),
             usual.port(),
-            (long) options.number("incarnation", usual.incarnation()),
+            (long) options.number("incarnation", (double) usual.incarnation()),
             options.integer("capacity", usual.capacityRequests()),
             options.integer("batch", usual.batchRequests()),
             options.number("prefill", usual.prefillTokensPerSecond()),
             options.number("decode", usual.decodeTokensPerSecond()),
-            (long) options.number("cache-tokens", usual.cacheTokens()),
+            (long) options.number("cache-tokens", (double) usual.cacheTokens()),
             options.number("import", usual.importTokensPerSecond()),
-            (long) options.number("load-lag-millis", usual.loadLagMillis()),
-            (long) options.number("event-lag-millis", usual.eventLagMillis()),
+            (long) options.number("load-lag-millis", (double) usual.loadLagMillis()),
+            (long) options.number("event-lag-millis", (double) usual.eventLagMillis()),
             options.integer("event-gap-every", usual.eventGapEvery()),
             options.bool("fencing", usual.checksFencing()),
             options.number("time-scale", usual.timeScale())),
@@ -129,6 +138,33 @@
         options.integer("work-millis", 5));
   }
 
+  private static void call(String[] arguments) throws ParseException, InterruptedException {
+    CommandLineOptions options =
+        new CommandLineOptions(arguments, "plan", "entry", "operator-token", "duration-seconds");
+    Plan plan = readPlan(options.text("plan", ""));
+    int seconds = options.integer("duration-seconds", plan.durationSeconds());
+    List<String> entry = List.of(options.text("entry", "").split(",", -1));
+    String token = options.text("operator-token", "");
+    long broken =
+        new CallersProgram(
+                plan.withDurationSeconds(seconds),
+                entry,
+                token.isEmpty() ? Optional.empty() : Optional.of(token),
+                System.out)
+            .run();
+    if (broken > 0) {
+      System.exit(EXIT_BROKEN);
+    }
+  }
+
+  private static Plan readPlan(String file) throws ParseException {
+    try {
+      return Plan.read(Files.readString(Path.of(file)));
+    } catch (IOException | IllegalArgumentException e) {
+      throw new ParseException("--plan '" + file + "': " + e.getMessage());
+    }
+  }
+
   private static void serve(StandInServer server) throws InterruptedException {
     server.start();
     System.out.println("listening on " + server.url());
--- /dev/null
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/caller/CallersProgram.java
@@ -0,0 +1,120 @@
+package org.coltsfootvale.testkit.caller;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Runs a plan of callers, shows progress and prints the report. */
+public final class CallersProgram {
+
+  private static final int TIMER_THREADS = 8;
+  private static final long PROGRESS_SECONDS = 5;
+  private static final long SKEW_SAMPLE_MILLIS = 500;
+  private static final long FINISH_SECONDS_MAX = 30;
+  private static final long POLL_MILLIS = 100;
+
+  private final Plan plan;
+  private final List<String> entryAddresses;
+  private final Optional<String> operatorToken;
+  private final PrintStream out;
+
+  /**
+   * Creates the program.
+   *
+   * @param plan what to do
+   * @param entryAddresses addresses of routers to ask for the entry answer
+   * @param operatorToken the token for reading the routers' state; empty to leave that out
+   * @param out where progress and report go
+   */
+  public CallersProgram(
+      Plan plan, List<String> entryAddresses, Optional<String> operatorToken, PrintStream out) {
+    this.plan = plan;
+    this.entryAddresses = List.copyOf(entryAddresses);
+    this.operatorToken = operatorToken;
+    this.out = out;
+  }
+
+  /** Runs to the end and returns how many promises were broken. */
+  public long run() throws InterruptedException {
+    ScheduledExecutorService timers = Executors.newScheduledThreadPool(TIMER_THREADS);
+    try (HttpJson http = new HttpJson()) {
+      return run(http, timers);
+    } finally {
+      timers.shutdownNow();
+    }
+  }
+
+  private long run(HttpJson http, ScheduledExecutorService timers) throws InterruptedException {
+    long endNanos = System.nanoTime() + Duration.ofSeconds(plan.durationSeconds()).toNanos();
+    UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(plan.seed());
+    Tally tally = new Tally();
+    CallersContext context =
+        new CallersContext(
+            plan,
+            http,
+            timers,
+            entries(http, random),
+            tally,
+            () -> System.nanoTime() - endNanos >= 0);
+    FleetCounts before = FleetCounts.read(http, plan.fleet(), operatorToken);
+    SkewSampler skew = new SkewSampler(http, plan.fleet().engines());
+    var unused =
+        timers.scheduleWithFixedDelay(
+            skew::sample, SKEW_SAMPLE_MILLIS, SKEW_SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
+    ChatLoad chats = new ChatLoad(context);
+    KeyedLoad keyed = new KeyedLoad(context);
+    chats.start();
+    keyed.start();
+    showProgress(context, chats, keyed);
+    awaitEnd(chats, keyed);
+    FleetCounts after = FleetCounts.read(http, plan.fleet(), operatorToken);
+    return new Report(out, tally, before, after).print(skew.describe(), keyed.finalOutcomes());
+  }
+
+  private List<EntryAnswerCache> entries(HttpJson http, UniformRandomProvider random) {
+    List<EntryAnswerCache> entries = new ArrayList<>();
+    for (int i = 0; i < plan.callers(); i++) {
+      UniformRandomProvider own = RandomSource.SPLIT_MIX_64.create(random.nextLong());
+      entries.add(new EntryAnswerCache(http, InstantSource.system(), own, entryAddresses));
+    }
+    return entries;
+  }
+
+  private void showProgress(CallersContext context, ChatLoad chats, KeyedLoad keyed)
+      throws InterruptedException {
+    int elapsedSeconds = 0;
+    while (!context.deadline().passed()) {
+      TimeUnit.SECONDS.sleep(PROGRESS_SECONDS);
+      elapsedSeconds += (int) PROGRESS_SECONDS;
+      long whole =
+          plan.chats().stream()
+              .mapToLong(kind -> context.tally().count(kind.name() + " whole"))
+              .sum();
+      out.printf(
+          "%4d s: %d whole answers, %d chats open, %d of %d keyed requests in progress%n",
+          elapsedSeconds,
+          whole,
+          chats.open(),
+          keyed.open(),
+          keyed.finalOutcomes().size() + keyed.open());
+    }
+  }
+
+  private void awaitEnd(ChatLoad chats, KeyedLoad keyed) throws InterruptedException {
+    long limitNanos = System.nanoTime() + Duration.ofSeconds(FINISH_SECONDS_MAX).toNanos();
+    while (chats.open() + keyed.open() > 0 && System.nanoTime() - limitNanos < 0) {
+      TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+    }
+    if (chats.open() + keyed.open() > 0) {
+      out.printf("%d requests did not end%n", chats.open() + keyed.open());
+    }
+  }
+}
