--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/ControlLoops.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/ControlLoops.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import org.coltsfootvale.core.membership.Membership;
+import org.coltsfootvale.core.once.OnceRegistry;
 import org.coltsfootvale.core.orders.OrderSender;
 import org.coltsfootvale.core.settings.RouterSettings;
 import org.coltsfootvale.core.support.Service;
@@ -17,6 +18,7 @@
   private static final Duration HOST_LIST_TICK = Duration.ofMillis(500);
   private static final Duration SHARE_TICK = Duration.ofSeconds(1);
   private static final Duration ORDER_TICK = Duration.ofSeconds(1);
+  private static final Duration KEY_TICK = Duration.ofSeconds(1);
   private static final Duration LOAD_TICK = Duration.ofSeconds(1);
 
   private final List<PeriodicTask> tasks;
@@ -35,6 +37,7 @@
       EngineProbe probe,
       ShareLoop shares,
       OrderSender orders,
+      OnceRegistry keys,
       OwnLoad ownLoad) {
     this.releases = releases;
     this.orders = orders;
@@ -50,6 +53,7 @@
             starter.task("engine_probe", probeTick, probe::tick),
             starter.task("shares", SHARE_TICK, shares::tick),
             starter.task("orders", ORDER_TICK, orders::tick),
+            starter.task("keys", KEY_TICK, keys::tick),
             starter.task("own_load", LOAD_TICK, ownLoad::tick));
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ControlModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ControlModule.java
@@ -19,6 +19,7 @@
 import org.coltsfootvale.core.membership.Membership;
 import org.coltsfootvale.core.model.FleetView;
 import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.once.OnceRegistry;
 import org.coltsfootvale.core.orders.DefaultOrderSender;
 import org.coltsfootvale.core.orders.OrderSender;
 import org.coltsfootvale.core.orders.OrderTimings;
@@ -200,6 +201,7 @@
       EngineProbe probe,
       ShareLoop shares,
       OrderSender orders,
+      OnceRegistry keys,
       Drain drain) {
     OwnLoad ownLoad =
         new OwnLoad(membership, drain::inProgress, settings.requests().concurrentMax());
@@ -214,6 +216,7 @@
         probe,
         shares,
         orders,
+        keys,
         ownLoad);
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ServingDecisionModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ServingDecisionModule.java
@@ -157,6 +157,7 @@
             settings.requests().keyAnswerBytesMax(),
             base.answerBytesMax(),
             base.claimLifetime(),
+            base.pauseMax(),
             base.claimMargin());
     return new DefaultOnceRegistry(self, homes, store, clock, System::nanoTime, limits);
   }
