Measure what one router costs beside the direct way to an engine

Cause: nothing showed what a router adds to a request. Change: 'coltsfootvale-verify.jar cost' runs a whole router before a platform stand-in and paced engines in one process and prints added latency, requests and events a second a core and memory of open streams. Ruled out: the engine stand-in of the testkit, whose batch ticks hide a millisecond; the engine here answers at once.

--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.verify;
 
 import java.util.Arrays;
+import org.coltsfootvale.verify.cost.CostCommand;
 import org.coltsfootvale.verify.policy.PolicyCommand;
 
 /** Starts a measurement, a trace replay or a specification check by its name. */
@@ -19,9 +20,10 @@
     String command = args.length == 0 ? "" : args[0];
     String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
     return switch (command) {
+      case "cost" -> new CostCommand(System.out).run(rest);
       case "policy" -> new PolicyCommand(System.out).run(rest);
       default -> {
-        System.out.println("commands: policy");
+        System.out.println("commands: cost, policy");
         yield EXIT_USAGE;
       }
     };
