--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/OnceLimits.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/OnceLimits.java
@@ -23,6 +23,8 @@
     Duration pauseMax,
     Duration claimMargin) {
 
+  private static final Duration PAUSE_MAX = Duration.ofSeconds(5);
+
   /** The bounds for a process of 128 MB. */
   public static final OnceLimits DEFAULT =
       new OnceLimits(
@@ -33,6 +35,16 @@
           Duration.ofSeconds(5),
           Duration.ofSeconds(10));
 
+  /** Creates bounds with the default for the pause that is noticed. */
+  public OnceLimits(
+      int keysMax,
+      long storedBytesMax,
+      int answerBytesMax,
+      Duration claimLifetime,
+      Duration claimMargin) {
+    this(keysMax, storedBytesMax, answerBytesMax, claimLifetime, PAUSE_MAX, claimMargin);
+  }
+
   /** Checks the bounds. */
   public OnceLimits {
     Checks.argument(keysMax >= 1, "keysMax must be at least 1, but is %d", keysMax);
