--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/RouterMain.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/RouterMain.java
@@ -8,11 +8,13 @@
  */
 public final class RouterMain {
 
+  private static final String LOG_MANAGER_PROPERTY = "java.util.logging.manager";
+
   private RouterMain() {}
 
   /** Starts the daemon; it runs until it is sent SIGTERM or SIGINT. */
   public static void main(String[] args) {
-    ShutdownLogManager.install();
+    System.setProperty(LOG_MANAGER_PROPERTY, ShutdownLogManager.class.getName());
     int exit = RouterDaemon.run(args, System.err);
     if (exit != 0) {
       System.exit(exit);
