--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replay/ScriptedKeyValueStore.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replay/ScriptedKeyValueStore.java
@@ -51,16 +51,22 @@
 
   /** Performs the held calls in their order. */
   public void releaseHeld() {
-    while (true) {
-      Runnable next;
-      synchronized (this) {
-        next = held.poll();
-      }
-      if (next == null) {
-        return;
-      }
-      next.run();
+    while (releaseNext()) {
+      continue;
+    }
+  }
+
+  /** Performs the oldest held call; returns whether there was one. */
+  public boolean releaseNext() {
+    Runnable next;
+    synchronized (this) {
+      next = held.poll();
+    }
+    if (next == null) {
+      return false;
     }
+    next.run();
+    return true;
   }
 
   /** Advances the service's time; leases whose time has passed lapse with their keys. */
--- /dev/null
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/release/WeakenedStore.java
@@ -0,0 +1,87 @@
+package org.coltsfootvale.core.release;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.coltsfootvale.core.platform.KeyValue;
+import org.coltsfootvale.core.platform.KeyValueStore;
+
+/** A store from which one safeguard of the release log has been removed. */
+record WeakenedStore(KeyValueStore store, Weakness weakness) implements KeyValueStore {
+
+  /** What has been removed. */
+  enum Weakness {
+    NONE,
+    /** Creating a key replaces it if it exists. */
+    CREATE_OVERWRITES,
+    /** The horizon of deleted notes is never seen. */
+    HORIZON_UNSEEN
+  }
+
+  @Override
+  public CompletableFuture<Optional<KeyValue>> get(String key) {
+    if (weakness == Weakness.HORIZON_UNSEEN && key.equals(NoteKeys.HORIZON)) {
+      return CompletableFuture.completedFuture(Optional.empty());
+    }
+    return store.get(key);
+  }
+
+  @Override
+  public CompletableFuture<List<KeyValue>> list(String prefix, String fromKey, int limit) {
+    return store.list(prefix, fromKey, limit);
+  }
+
+  @Override
+  public CompletableFuture<OptionalLong> createIfAbsent(String key, byte[] value, long leaseId) {
+    if (weakness != Weakness.CREATE_OVERWRITES) {
+      return store.createIfAbsent(key, value, leaseId);
+    }
+    return store
+        .createIfAbsent(key, value, leaseId)
+        .thenCompose(
+            created ->
+                created.isPresent()
+                    ? CompletableFuture.completedFuture(created)
+                    : overwrite(key, value, leaseId));
+  }
+
+  private CompletableFuture<OptionalLong> overwrite(String key, byte[] value, long leaseId) {
+    return store
+        .get(key)
+        .thenCompose(
+            found -> store.compareAndSwap(key, value, found.orElseThrow().modRevision(), leaseId));
+  }
+
+  @Override
+  public CompletableFuture<OptionalLong> compareAndSwap(
+      String key, byte[] value, long expectedModRevision, long leaseId) {
+    return store.compareAndSwap(key, value, expectedModRevision, leaseId);
+  }
+
+  @Override
+  public CompletableFuture<Boolean> delete(String key, long expectedModRevision) {
+    return store.delete(key, expectedModRevision);
+  }
+
+  @Override
+  public CompletableFuture<Long> grantLease(Duration timeToLive) {
+    return store.grantLease(timeToLive);
+  }
+
+  @Override
+  public CompletableFuture<Duration> keepLeaseAlive(long leaseId) {
+    return store.keepLeaseAlive(leaseId);
+  }
+
+  @Override
+  public CompletableFuture<Void> revokeLease(long leaseId) {
+    return store.revokeLease(leaseId);
+  }
+
+  @Override
+  public Watch watch(String prefix, long fromRevision, WatchListener listener) {
+    return store.watch(prefix, fromRevision, listener);
+  }
+}
