--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.verify;
 
 import java.util.Arrays;
+import org.coltsfootvale.verify.cost.CostCommand;
 import org.coltsfootvale.verify.policy.PolicyCommand;
 import org.coltsfootvale.verify.slopes.SlopesCommand;
 
@@ -20,6 +21,7 @@
     String command = args.length == 0 ? "" : args[0];
     String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
     return switch (command) {
+      case "cost" -> new CostCommand(System.out).run(rest);
       case "policy" -> new PolicyCommand(System.out).run(rest);
       case "slopes" -> slopes(rest);
       default -> usage();
@@ -32,7 +34,7 @@
   }
 
   private static int usage() {
-    System.err.println("commands: policy | slopes [routersMax [seed]]");
+    System.err.println("commands: cost | policy | slopes [routersMax [seed]]");
     return EXIT_USAGE;
   }
 }
