--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/FleetStateValidator.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/FleetStateValidator.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.ToDoubleFunction;
 import java.util.regex.Pattern;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
@@ -33,12 +34,12 @@
    * @throws ColtsfootvaleException INVALID_NOTE naming the item, the field and the remedy
    */
   void validate(FleetState before, FleetState next) {
-    next.models().values().forEach(this::model);
-    next.pools().values().forEach(this::pool);
-    next.engines().values().forEach(engine -> engine(next, engine));
-    next.organisations().values().forEach(this::organisation);
-    next.services().values().forEach(this::service);
-    next.operators().values().forEach(this::operator);
+    sorted(next.models()).forEach(this::model);
+    sorted(next.pools()).forEach(this::pool);
+    sorted(next.engines()).forEach(engine -> engine(next, engine));
+    sorted(next.organisations()).forEach(this::organisation);
+    sorted(next.services()).forEach(this::service);
+    sorted(next.operators()).forEach(this::operator);
     policy(next.policy());
     uniqueCredentials(next);
     uniqueBackends(next);
@@ -118,11 +119,11 @@
 
   private void uniqueCredentials(FleetState next) {
     Map<String, String> owners = new HashMap<>();
-    for (OrganisationSpec organisation : next.organisations().values()) {
+    for (OrganisationSpec organisation : sorted(next.organisations())) {
       String name = "organisation '" + organisation.id() + "'";
       organisation.keyHashes().forEach(hash -> own(owners, hash, name, "credential hash"));
     }
-    for (OperatorSpec operator : next.operators().values()) {
+    for (OperatorSpec operator : sorted(next.operators())) {
       own(owners, operator.tokenHash(), "operator '" + operator.id() + "'", "credential hash");
     }
   }
@@ -130,12 +131,12 @@
   private void uniqueBackends(FleetState next) {
     Map<String, String> ids = new HashMap<>();
     Map<String, String> addresses = new HashMap<>();
-    for (EngineSpec engine : next.engines().values()) {
+    for (EngineSpec engine : sorted(next.engines())) {
       String name = "engine '" + engine.id() + "'";
       own(ids, engine.id().value(), name, "name");
       own(addresses, engine.address().toString(), name, "address");
     }
-    for (ServiceSpec service : next.services().values()) {
+    for (ServiceSpec service : sorted(next.services())) {
       String name = "service '" + service.id() + "'";
       for (ServiceSpec.Replica replica : service.replicas()) {
         own(ids, replica.id(), name, "name");
@@ -145,7 +146,7 @@
   }
 
   private void sums(FleetState next) {
-    Collection<OrganisationSpec> all = next.organisations().values();
+    Collection<OrganisationSpec> all = sorted(next.organisations());
     sum(all, "weight", OrganisationSpec::weight);
     sum(all, "requestsPerSecond", OrganisationSpec::requestsPerSecond);
     sum(all, "tokensPerSecond", OrganisationSpec::tokensPerSecond);
@@ -166,6 +167,11 @@
     }
   }
 
+  /** Returns the items by id, so that the same fault is always named first. */
+  private static <K extends Comparable<? super K>, V> Collection<V> sorted(Map<K, V> items) {
+    return new TreeMap<>(items).values();
+  }
+
   private static void own(Map<String, String> owners, String key, String owner, String what) {
     String other = owners.putIfAbsent(key, owner);
     if (other != null) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/NoteFaults.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/NoteFaults.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonMappingException;
-import com.fasterxml.jackson.databind.exc.InvalidFormatException;
 import com.fasterxml.jackson.databind.exc.MismatchedInputException;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.exc.ValueInstantiationException;
@@ -18,6 +17,8 @@
 /** Words the parser's failures with the line, the field and the remedy. */
 final class NoteFaults {
 
+  private static final String MISSING = "Missing required creator property";
+
   private NoteFaults() {}
 
   /** Returns an error of kind INVALID_NOTE. */
@@ -42,23 +43,21 @@
     if (failure instanceof ValueInstantiationException rejected) {
       Throwable cause = rejected.getCause();
       String reason = cause == null ? null : cause.getMessage();
-      return place + ": " + (reason == null ? "a value is missing; write one." : reason);
-    }
-    if (failure instanceof InvalidFormatException format) {
-      return place
-          + ": '"
-          + format.getValue()
-          + "' is not a "
-          + typeName(format.getTargetType())
-          + "; "
-          + remedyFor(format.getTargetType());
+      return place + (reason == null ? " lacks a value; write one." : ": " + reason + ".");
     }
     if (failure instanceof MismatchedInputException mismatch) {
-      return place + ": " + firstLine(mismatch) + "; " + remedyFor(mismatch.getTargetType());
+      return place + mismatch(mismatch);
     }
     return place + ": " + firstLine(failure) + "; correct the YAML.";
   }
 
+  private static String mismatch(MismatchedInputException failure) {
+    if (failure.getOriginalMessage().startsWith(MISSING)) {
+      return " is missing; add it.";
+    }
+    return " has the wrong form; " + remedyFor(failure.getTargetType());
+  }
+
   private static String line(JsonProcessingException failure, String yaml) {
     if (failure instanceof JsonMappingException mapping && !mapping.getPath().isEmpty()) {
       return "Line " + new YamlLines(yaml).lineOf(mapping.getPath()) + ", ";
@@ -98,21 +97,23 @@
     return String.join(", ", names);
   }
 
-  private static String typeName(@Nullable Class<?> type) {
-    if (type == null) {
-      return "valid value";
-    }
-    return type.isPrimitive() || Number.class.isAssignableFrom(type) ? "number" : "valid value";
-  }
-
   private static String remedyFor(@Nullable Class<?> type) {
-    if (type != null && type.isPrimitive() && type != boolean.class) {
-      return "write a plain number, the unit is part of the field's name.";
-    }
     if (type == boolean.class) {
       return "write true or false.";
     }
-    return "see the release notes page for the form.";
+    if (type == int.class || type == long.class) {
+      return "write a whole number, the unit is part of the field's name.";
+    }
+    if (type == double.class) {
+      return "write a plain number, the unit is part of the field's name.";
+    }
+    if (type != null && Collection.class.isAssignableFrom(type)) {
+      return "write a list without empty items.";
+    }
+    if (type == String.class) {
+      return "write a text, in quotes if it looks like a number.";
+    }
+    return "write the fields that the release notes page names.";
   }
 
   private static String firstLine(JsonProcessingException failure) {
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
@@ -204,6 +204,19 @@
     run(router.begin(homedKey(ROUTER_A, 1), 7)).beforeSend();
   }
 
+  @Test
+  public void aClaimCostsOneWriteAndALeaseServesManyClaims() {
+    DefaultOnceRegistry router = registry(ROUTER_A);
+    int claims = 600;
+    for (int second = 0; second < claims; second++) {
+      claimed(router.begin(prefixes.parse(RESERVE, "crane-" + second), 7));
+      pause(Duration.ofSeconds(1));
+    }
+    assertEquals(store.calls(Call.CREATE), claims);
+    assertEquals(store.calls(Call.GET), 0);
+    assertEquals(store.calls(Call.GRANT_LEASE), 6);
+  }
+
   @Test
   public void anAnswerTooLargeToKeepLeavesItsOutcome() {
     DefaultOnceRegistry home = registry(ROUTER_A);
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/spec/ModelChecker.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/spec/ModelChecker.java
@@ -19,6 +19,7 @@
   private static final Pattern INVARIANT = Pattern.compile("Invariant (\\w+) is violated");
   private static final Pattern DISTINCT = Pattern.compile("([0-9]+) distinct states found, 0");
   private static final String NO_ERROR = "No error has been found";
+  private static final String CONFIGURATION = "check.cfg";
   private static final String HEAP = "-Xmx1g";
   private static final String WORKERS = "2";
 
@@ -41,10 +42,10 @@
     try {
       Path work = Files.createTempDirectory("model-check");
       try {
-        Path config = work.resolve("check.cfg");
+        copyModules(work);
         String text = Files.readString(directory.resolve(configuration + ".cfg"));
-        Files.writeString(config, replace(text, constants));
-        return result(run(module, config, work));
+        Files.writeString(work.resolve(CONFIGURATION), replace(text, constants));
+        return result(run(module, work));
       } finally {
         delete(work);
       }
@@ -64,7 +65,15 @@
     return replaced;
   }
 
-  private String run(String module, Path config, Path work) throws IOException {
+  private void copyModules(Path work) throws IOException {
+    try (Stream<Path> files = Files.list(directory)) {
+      for (Path file : files.filter(path -> path.toString().endsWith(".tla")).toList()) {
+        Files.copy(file, work.resolve(file.getFileName()));
+      }
+    }
+  }
+
+  private static String run(String module, Path work) throws IOException {
     ProcessBuilder builder =
         new ProcessBuilder(
             List.of(
@@ -77,10 +86,10 @@
                 "-workers",
                 WORKERS,
                 "-metadir",
-                work.resolve("states").toString(),
+                "states",
                 "-config",
-                config.toString(),
-                directory.resolve(module + ".tla").toString()));
+                CONFIGURATION,
+                module + ".tla"));
     Process process = builder.directory(work.toFile()).redirectErrorStream(true).start();
     try (var output = process.getInputStream()) {
       return new String(output.readAllBytes(), StandardCharsets.UTF_8);
