Bound the load by exchanged dispatch counts and by the engine's own refusal

Change: routers of a small fleet send each other changed dispatch counts; short requests fill engines below the mean; the engine is told its bound; a refusal is charged to the retry budget only if the retry is refused too.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/CandidateOrder.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/CandidateOrder.java
@@ -10,11 +10,16 @@
 /** The order in which the engines are tried for one request. */
 final class CandidateOrder {
 
+  private static final int REFUSALS_MAX = 1;
+  private static final Comparator<RankedEngine> BY_LOAD =
+      Comparator.comparingInt(engine -> engine.load().outstandingRequests());
+
   private final PlacementRequest request;
   private final PolicySpec policy;
   private final PlacementOptions options;
   private final List<RankedEngine> live;
   private final @Nullable RankedEngine hinted;
+  private final double outstandingMean;
 
   /**
    * Creates the order.
@@ -31,26 +36,72 @@
     this.options = options;
     this.live = live;
     this.hinted = findHinted();
+    this.outstandingMean = meanOutstanding();
   }
 
   /** Returns the engines that may take the request, best first. */
   List<RankedEngine> best() {
-    double bound = outstandingBound();
     List<RankedEngine> within = new ArrayList<>();
     List<RankedEngine> beyond = new ArrayList<>();
     for (RankedEngine engine : live) {
       if (!isOpen(engine)) {
         continue;
       }
-      boolean fits = engine.load().outstandingRequests() + 1 <= bound;
+      boolean fits = engine.load().outstandingRequests() + 1 <= bound(engine);
       (fits ? within : beyond).add(engine);
     }
-    List<RankedEngine> order = new ArrayList<>(byCost(within));
-    beyond.sort(Comparator.comparingInt(engine -> engine.load().outstandingRequests()));
+    List<RankedEngine> order = new ArrayList<>(isShort() ? byLoad(within) : byCost(within));
+    beyond.sort(BY_LOAD);
     order.addAll(beyond);
     return order;
   }
 
+  /**
+   * Returns the number of outstanding requests that an engine may reach by choice. Only a request
+   * that saves enough prefill may take an engine above the mean.
+   */
+  private double bound(RankedEngine engine) {
+    boolean keepsPlace =
+        engine.equals(hinted) ? heldTokens() >= options.reuseTokensMin() : !isShort();
+    double share = keepsPlace ? options.boundShare() : 0;
+    double factor = 1 + (policy.loadBound() - 1) * share;
+    return Math.max(1, factor * (outstandingMean + 1.0 / live.size()));
+  }
+
+  /** Returns whether the prompt is so short that computing it anywhere costs little. */
+  private boolean isShort() {
+    return request.promptTokens() < 2 * options.reuseTokensMin();
+  }
+
+  /**
+   * Puts the hinted engine first, then the least loaded: of all engines where their loads are known
+   * exactly, otherwise of the first candidates of the ranking, so that routers with the same old
+   * reports do not all choose the same engine.
+   */
+  private List<RankedEngine> byLoad(List<RankedEngine> within) {
+    List<RankedEngine> order = new ArrayList<>(within);
+    boolean fresh = order.stream().allMatch(engine -> engine.load().fresh());
+    int considered = fresh ? order.size() : Math.min(order.size(), policy.candidates());
+    order.subList(0, considered).sort(BY_LOAD);
+    RankedEngine source = hinted;
+    if (source != null && order.remove(source)) {
+      order.add(0, source);
+    }
+    return order;
+  }
+
+  /**
+   * Returns the number of outstanding requests beyond which an engine should refuse the request; no
+   * limit once an engine has refused it.
+   */
+  int outstandingRequestsMax() {
+    if (request.excluded().size() >= REFUSALS_MAX) {
+      return Integer.MAX_VALUE;
+    }
+    double bound = policy.loadBound() * (outstandingMean + 1.0 / live.size());
+    return (int) Math.max(Math.floor(bound), Math.floor(outstandingMean) + 1);
+  }
+
   /** Returns what is expected of the cache if an engine takes the request. */
   Plan plan(RankedEngine engine) {
     RankedEngine source = hinted;
@@ -72,13 +123,12 @@
     return new Plan(0, null, prefill);
   }
 
-  /** Returns the greatest number of outstanding requests that an engine may reach. */
-  private double outstandingBound() {
-    long sum = 1;
+  private double meanOutstanding() {
+    double sum = 0;
     for (RankedEngine engine : live) {
       sum += engine.load().outstandingRequests();
     }
-    return Math.max(1, policy.loadBound() * sum / live.size());
+    return sum / live.size();
   }
 
   private boolean isOpen(RankedEngine engine) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultEngineSelector.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultEngineSelector.java
@@ -31,15 +31,35 @@
   private final InstantSource clock;
   private final PlacementOptions options;
 
-  /** Creates a selector over snapshots of the release state and the membership view. */
+  /** Creates a selector that knows the engines' loads from their reports alone. */
   public DefaultEngineSelector(
       Supplier<FleetState> state,
       Supplier<FleetView> view,
       CircuitBreakers circuits,
       InstantSource clock,
       PlacementOptions options) {
+    this(state, view, PeerLoads.UNKNOWN, circuits, clock, options);
+  }
+
+  /**
+   * Creates a selector.
+   *
+   * @param state the release state
+   * @param view the membership view with the engines' load reports
+   * @param peers what other routers have outstanding, used instead of reports where it is known
+   * @param circuits the circuit breakers by engine id
+   * @param clock the clock
+   * @param options the constants
+   */
+  public DefaultEngineSelector(
+      Supplier<FleetState> state,
+      Supplier<FleetView> view,
+      PeerLoads peers,
+      CircuitBreakers circuits,
+      InstantSource clock,
+      PlacementOptions options) {
     this.state = state;
-    this.ranking = new EngineRanking(state, view, clock, options);
+    this.ranking = new EngineRanking(state, view, peers, clock, options);
     this.circuits = circuits;
     this.clock = clock;
     this.options = options;
@@ -66,6 +86,11 @@
     throw refusal(request, live);
   }
 
+  /** Returns what this router has dispatched and not finished. */
+  public DispatchCounts ownCounts() {
+    return ranking.ownCounts();
+  }
+
   private Reservation reserve(RankedEngine engine, PlacementRequest request, CandidateOrder order) {
     CandidateOrder.Plan plan = order.plan(engine);
     long uncachedTokens = Math.max(0, request.promptTokens() - plan.cachedTokens());
@@ -75,6 +100,7 @@
         engine.view().incarnation(),
         plan.cachedTokens(),
         plan.importFrom(),
+        order.outstandingRequestsMax(),
         uncachedTokens,
         engine.account(),
         clock);
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultReservation.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultReservation.java
@@ -11,6 +11,7 @@
   private final long engineIncarnation;
   private final int cachedTokensExpected;
   private final @Nullable EngineId importFrom;
+  private final int outstandingRequestsMax;
   private final EngineAccount account;
   private final InstantSource clock;
   private long promptTokensQueued;
@@ -21,6 +22,7 @@
       long engineIncarnation,
       int cachedTokensExpected,
       @Nullable EngineId importFrom,
+      int outstandingRequestsMax,
       long promptTokensQueued,
       EngineAccount account,
       InstantSource clock) {
@@ -28,6 +30,7 @@
     this.engineIncarnation = engineIncarnation;
     this.cachedTokensExpected = cachedTokensExpected;
     this.importFrom = importFrom;
+    this.outstandingRequestsMax = outstandingRequestsMax;
     this.promptTokensQueued = promptTokensQueued;
     this.account = account;
     this.clock = clock;
@@ -53,6 +56,11 @@
     return importFrom;
   }
 
+  @Override
+  public int outstandingRequestsMax() {
+    return outstandingRequestsMax;
+  }
+
   @Override
   public synchronized void prefilled() {
     if (released || promptTokensQueued == 0) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/EngineAccount.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/EngineAccount.java
@@ -36,15 +36,23 @@
     history.record(nowMillis, -1, -promptTokensLeft);
   }
 
-  /** Returns this router's own outstanding requests. */
-  synchronized int ownOutstanding() {
-    return outstandingRequests;
+  /** Returns this router's own load. */
+  synchronized LoadEstimate own() {
+    return new LoadEstimate(outstandingRequests, queuedTokens, false);
+  }
+
+  /** Returns the estimate from what the other routers have outstanding. */
+  synchronized LoadEstimate estimate(DispatchCounts.Count peers) {
+    return new LoadEstimate(
+        outstandingRequests + peers.outstandingRequests(),
+        queuedTokens + peers.queuedTokens(),
+        true);
   }
 
   /** Returns the estimate from a report, which is null while none is known. */
   synchronized LoadEstimate estimate(@Nullable EngineLoad newest) {
     if (newest == null) {
-      return new LoadEstimate(outstandingRequests, queuedTokens);
+      return new LoadEstimate(outstandingRequests, queuedTokens, false);
     }
     if (!newest.equals(report)) {
       rebase(newest);
@@ -52,7 +60,7 @@
     int requests = newest.outstandingRequests() + outstandingRequests - requestsAtReport;
     long tokens = newest.queuedTokens() + queuedTokens - tokensAtReport;
     return new LoadEstimate(
-        Math.max(requests, outstandingRequests), Math.max(tokens, queuedTokens));
+        Math.max(requests, outstandingRequests), Math.max(tokens, queuedTokens), false);
   }
 
   private void rebase(EngineLoad newest) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/EngineRanking.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/EngineRanking.java
@@ -25,6 +25,7 @@
 
   private final Supplier<FleetState> state;
   private final Supplier<FleetView> view;
+  private final PeerLoads peers;
   private final InstantSource clock;
   private final PlacementOptions options;
   private final FlapDetector flaps;
@@ -34,10 +35,12 @@
   EngineRanking(
       Supplier<FleetState> state,
       Supplier<FleetView> view,
+      PeerLoads peers,
       InstantSource clock,
       PlacementOptions options) {
     this.state = state;
     this.view = view;
+    this.peers = peers;
     this.clock = clock;
     this.options = options;
     this.flaps = new FlapDetector(options.stableAfter());
@@ -74,7 +77,28 @@
         RendezvousHashing.score(chatHash, entry.hash(), weight),
         spec.prefillTokensPerSecond(),
         account,
-        account.estimate(engine.load()));
+        estimate(engine, account));
+  }
+
+  private LoadEstimate estimate(EngineView engine, EngineAccount account) {
+    return peers
+        .of(engine.id())
+        .map(account::estimate)
+        .orElseGet(() -> account.estimate(engine.load()));
+  }
+
+  /** Returns this router's own load on each engine that has any. */
+  DispatchCounts ownCounts() {
+    List<DispatchCounts.Count> counts = new ArrayList<>();
+    accounts.forEach(
+        (id, account) -> {
+          LoadEstimate own = account.own();
+          if (own.outstandingRequests() > 0) {
+            counts.add(new DispatchCounts.Count(id, own.outstandingRequests(), own.queuedTokens()));
+          }
+        });
+    counts.sort(Comparator.comparing(DispatchCounts.Count::engine));
+    return new DispatchCounts(true, counts);
   }
 
   private double joinFactor(EngineView engine, Instant now) {
@@ -99,7 +123,7 @@
         .removeIf(
             entry ->
                 !current.engines().containsKey(entry.getKey())
-                    && entry.getValue().ownOutstanding() == 0);
+                    && entry.getValue().own().outstandingRequests() == 0);
     flaps.retain(current.engines().keySet());
     index = fresh;
     return fresh;
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/LoadEstimate.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/LoadEstimate.java
@@ -5,5 +5,6 @@
  *
  * @param outstandingRequests requests accepted and not finished
  * @param queuedTokens prompt tokens accepted and not prefilled
+ * @param fresh whether it rests on what all routers have outstanding now, not on a report
  */
-record LoadEstimate(int outstandingRequests, long queuedTokens) {}
+record LoadEstimate(int outstandingRequests, long queuedTokens, boolean fresh) {}
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/PlacementOptions.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/PlacementOptions.java
@@ -15,7 +15,10 @@
  * @param prefillWaitMax the greatest estimated wait for prefill at an engine
  * @param importTokensPerSecond the rate at which an engine imports cache from another, more than 0
  * @param importOverhead the fixed time of an import
- * @param reuseTokensMin the fewest cached prompt tokens that are worth keeping a request in place
+ * @param reuseTokensMin the fewest cached prompt tokens that are worth importing or exceeding the
+ *     mean load for
+ * @param boundShare which part of the room between the mean and the load bound is used up by
+ *     choice, 0 to 1; the rest is left for what the estimate does not know
  */
 public record PlacementOptions(
     Duration joinRamp,
@@ -24,7 +27,8 @@
     Duration prefillWaitMax,
     double importTokensPerSecond,
     Duration importOverhead,
-    int reuseTokensMin) {
+    int reuseTokensMin,
+    double boundShare) {
 
   /** The values used unless the settings say otherwise. */
   public static final PlacementOptions DEFAULT =
@@ -35,7 +39,8 @@
           Duration.ofSeconds(30),
           50_000,
           Duration.ofMillis(50),
-          512);
+          512,
+          0.2);
 
   /** Checks the ranges. */
   public PlacementOptions {
@@ -49,6 +54,7 @@
         importTokensPerSecond > 0,
         "importTokensPerSecond must be more than 0, but is %s",
         importTokensPerSecond);
+    Checks.range(boundShare, 0, 1, "boundShare");
     Checks.argument(
         reuseTokensMin >= 0, "reuseTokensMin must be at least 0, but is %d", reuseTokensMin);
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/retry/DefaultRetryPolicy.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/retry/DefaultRetryPolicy.java
@@ -12,6 +12,10 @@
 /**
  * Retries within the deadline, a number of attempts and a retry budget that all attempts draw on.
  *
+ * <p>A refusal is cheap and quick and often concerns one backend server alone, so that a retry
+ * after it is charged to the budget only if it fails as well; while all of them refuse, the budget
+ * holds.
+ *
  * <p>A request that is not to be repeated is retried only while it is certain that it did not run.
  * After part of an answer only its own engine can go on with it.
  */
@@ -40,13 +44,16 @@
 
   @Override
   public RetryDecision decide(RequestTraits traits, int attempts, AttemptFailure failure) {
+    if (attempts > 1 && failure.stage() == AttemptFailure.Stage.REFUSED) {
+      budget.charge();
+    }
     Duration delay = delay(attempts, failure);
     Instant next = clock.instant().plus(delay);
     boolean allowed =
         mayRunAgain(traits, failure.stage())
             && attempts < options.attemptsMax()
             && next.isBefore(traits.deadline())
-            && budget.tryTake();
+            && drawOnBudget(failure.stage());
     if (!allowed) {
       return new RetryDecision.GiveUp(error(failure));
     }
@@ -56,6 +63,11 @@
     return new RetryDecision.Elsewhere(delay);
   }
 
+  /** A retry after a refusal is charged only if it is refused as well. */
+  private boolean drawOnBudget(AttemptFailure.Stage stage) {
+    return stage == AttemptFailure.Stage.REFUSED ? budget.isAvailable() : budget.tryTake();
+  }
+
   private static boolean mayRunAgain(RequestTraits traits, AttemptFailure.Stage stage) {
     return switch (stage) {
       case NOT_SENT, REFUSED -> true;
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/retry/RetryBudget.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/retry/RetryBudget.java
@@ -22,6 +22,11 @@
     saved = Math.min(max, saved + ratio);
   }
 
+  /** Returns whether the budget holds a whole retry. */
+  synchronized boolean isAvailable() {
+    return saved >= 1;
+  }
+
   /** Takes one retry out of the budget; returns false if there is none. */
   synchronized boolean tryTake() {
     if (saved < 1) {
@@ -30,4 +35,9 @@
     saved -= 1;
     return true;
   }
+
+  /** Takes one retry that has already been made, into debt if need be. */
+  synchronized void charge() {
+    saved -= 1;
+  }
 }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/placement/DefaultEngineSelectorTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/placement/DefaultEngineSelectorTest.java
@@ -10,12 +10,14 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.error.Outcome;
 import org.coltsfootvale.core.model.EngineId;
 import org.coltsfootvale.core.model.EngineLoad;
 import org.coltsfootvale.core.model.Liveness;
+import org.coltsfootvale.core.model.RequestClass;
 import org.testng.annotations.Test;
 
 @Test
@@ -121,7 +123,7 @@
     account.add(start.toEpochMilli(), 50);
     account.add(start.plusSeconds(2).toEpochMilli(), 50);
     EngineLoad report = new EngineLoad(3, 120, 0, start.plusSeconds(1));
-    assertEquals(account.estimate(report), new LoadEstimate(4, 170));
+    assertEquals(account.estimate(report), new LoadEstimate(4, 170, false));
   }
 
   public void anExcludedEngineIsNotChosenAgain() {
@@ -173,4 +175,35 @@
     assertEquals(error.kind(), ErrorKind.OVERLOADED);
     assertFalse(error.retryAfter().isEmpty());
   }
+
+  public void theEngineIsToldTheBoundUntilOneHasRefused() {
+    TestFleet fleet = new TestFleet(4);
+    for (int i = 0; i < 4; i++) {
+      fleet.report(TestFleet.engine(i), 8, 0);
+    }
+    Reservation first = fleet.selector.select(TestFleet.request("chat"));
+    assertEquals(first.outstandingRequestsMax(), 10);
+    Reservation second = fleet.selector.select(TestFleet.request("chat", null, first.engine()));
+    assertEquals(second.outstandingRequestsMax(), Integer.MAX_VALUE);
+  }
+
+  public void aShortRequestDoesNotTakeAnEngineAboveTheMean() {
+    TestFleet fleet = new TestFleet(4);
+    for (int chat = 0; chat < 50; chat++) {
+      for (int i = 0; i < 4; i++) {
+        fleet.report(TestFleet.engine(i), i == 0 ? 6 : 8, 0);
+      }
+      PlacementRequest tag =
+          new PlacementRequest(
+              TestFleet.ORGANISATION,
+              TestFleet.MODEL,
+              RequestClass.TAG,
+              "tag" + chat,
+              50,
+              5,
+              null,
+              Set.of());
+      assertEquals(choose(fleet, tag), TestFleet.engine(0));
+    }
+  }
 }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/retry/DefaultRetryPolicyTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/retry/DefaultRetryPolicyTest.java
@@ -92,4 +92,14 @@
     }
     assertTrue(attempts <= 1.1 * requests, attempts + " attempts");
   }
+
+  public void refusalsOfSingleEnginesDoNotUseUpTheBudget() {
+    DefaultRetryPolicy policy = policy();
+    RequestTraits traits = new RequestTraits(true, true, DEADLINE);
+    for (int i = 0; i < 2000; i++) {
+      policy.requestStarted();
+      RetryDecision decision = policy.decide(traits, 1, failure(Stage.REFUSED));
+      assertTrue(decision instanceof RetryDecision.Elsewhere, "request " + i);
+    }
+  }
 }
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/FleetSize.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/FleetSize.java
@@ -22,8 +22,17 @@
     int viewGroups,
     double pauseFactor) {
 
+  private static final int SURGES = 2;
+  private static final double SURGE_SHARE = 0.2;
   private static final double REQUESTS_PER_SECOND_PER_ENGINE = 1.6;
 
+  /** Returns whether a time lies in one of the surges. */
+  boolean inSurge(long timeMillis) {
+    long period = durationMillis / SURGES;
+    long phase = timeMillis % period;
+    return phase >= period / 2 && phase < period / 2 + (long) (period * SURGE_SHARE);
+  }
+
   /** Returns the size of a deployment today. */
   static FleetSize today(Mix mix) {
     return new FleetSize(
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/Policies.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/Policies.java
@@ -14,6 +14,7 @@
 import org.coltsfootvale.core.model.EngineLoad;
 import org.coltsfootvale.core.model.EngineView;
 import org.coltsfootvale.core.placement.DefaultEngineSelector;
+import org.coltsfootvale.core.placement.PeerLoads;
 import org.coltsfootvale.core.placement.PlacementOptions;
 import org.coltsfootvale.core.placement.PlacementRequest;
 import org.coltsfootvale.core.support.RendezvousHashing;
@@ -32,33 +33,51 @@
    * @param name its name in the table
    * @param factory makes each router's selector
    * @param hints whether callers hand back the hint of their last answer
+   * @param information what routers know of the loads
    * @param enforcedByEngine whether engines refuse what exceeds the bound that routers tell them
    */
-  record Policy(String name, SelectorFactory factory, boolean hints, boolean enforcedByEngine) {}
+  record Policy(
+      String name,
+      SelectorFactory factory,
+      boolean hints,
+      Information information,
+      boolean enforcedByEngine) {}
 
   /** Returns the baselines. */
   static List<Policy> baselines(double loadBound) {
     return List.of(
-        baseline("round robin", seed -> roundRobin(seed)),
-        baseline("least reported", seed -> Policies::leastReported),
-        baseline("two choices", seed -> twoChoices(seed)),
-        baseline("plain rendezvous", seed -> Policies::rendezvous),
-        baseline("bounded ring", seed -> boundedRing(loadBound)));
+        baseline("round robin", Information.REPORTS, seed -> roundRobin(seed)),
+        baseline("least reported", Information.REPORTS, seed -> Policies::leastReported),
+        baseline("least actual", Information.PERFECT, seed -> Policies::leastReported),
+        baseline("two choices", Information.REPORTS, seed -> twoChoices(seed)),
+        baseline("plain rendezvous", Information.REPORTS, seed -> Policies::rendezvous),
+        baseline("bounded ring", Information.REPORTS, seed -> boundedRing(loadBound)));
   }
 
   /** Returns the product's own policy. */
-  static Policy own(String name, PlacementOptions options, boolean hints, boolean enforced) {
+  static Policy own(
+      String name,
+      PlacementOptions options,
+      boolean hints,
+      Information information,
+      boolean enforced) {
     SelectorFactory factory =
-        (state, view, circuits, clock, seed) ->
-            new DefaultEngineSelector(state, view, circuits, clock, options);
-    return new Policy(name, factory, hints, enforced);
+        (state, view, peers, circuits, clock, seed) ->
+            new DefaultEngineSelector(
+                state,
+                view,
+                information == Information.EXCHANGE ? peers : PeerLoads.UNKNOWN,
+                circuits,
+                clock,
+                options);
+    return new Policy(name, factory, hints, information, enforced);
   }
 
-  private static Policy baseline(String name, RuleFactory rules) {
+  private static Policy baseline(String name, Information information, RuleFactory rules) {
     SelectorFactory factory =
-        (state, view, circuits, clock, seed) ->
+        (state, view, peers, circuits, clock, seed) ->
             new BaselineSelector(view, circuits, clock, rules.create(seed));
-    return new Policy(name, factory, false, false);
+    return new Policy(name, factory, false, information, false);
   }
 
   private static BaselineSelector.Rule roundRobin(long seed) {
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/PolicyCommand.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/PolicyCommand.java
@@ -20,12 +20,14 @@
   private static final String HEADER =
       String.format(
           Locale.ROOT,
-          "%-26s %7s %7s %7s %7s %6s %7s %7s %7s %7s %7s %6s %8s %7s",
+          "%-26s %7s %7s %7s %7s %7s %7s %6s %7s %7s %7s %7s %7s %6s %8s %7s",
           "policy",
           "reuse%",
           "skew50",
           "skew99",
           "skewmax",
+          "sksurge",
+          "skcalm",
           "idle%",
           "quick95",
           "qsurge",
@@ -107,8 +109,14 @@
   private static List<Policies.Policy> ownPolicies(double loadBound) {
     List<Policies.Policy> policies = new ArrayList<>();
     String suffix = String.format(Locale.ROOT, " c=%.2f", loadBound);
-    policies.add(Policies.own("own, no hint" + suffix, PlacementOptions.DEFAULT, false, false));
-    policies.add(Policies.own("own" + suffix, PlacementOptions.DEFAULT, true, false));
+    PlacementOptions options = PlacementOptions.DEFAULT;
+    policies.add(Policies.own("own, no hint" + suffix, options, false, Information.EXCHANGE, true));
+    policies.add(
+        Policies.own("own, reports only" + suffix, options, true, Information.REPORTS, false));
+    policies.add(
+        Policies.own("own, exchange" + suffix, options, true, Information.EXCHANGE, false));
+    policies.add(Policies.own("own, refusal" + suffix, options, true, Information.REPORTS, true));
+    policies.add(Policies.own("own" + suffix, options, true, Information.EXCHANGE, true));
     return policies;
   }
 
@@ -127,12 +135,14 @@
   private void print(RunResult r) {
     out.printf(
         Locale.ROOT,
-        "%-26s %7.1f %7.2f %7.2f %7.2f %6.1f %7.0f %7.0f %7.0f %7.2f %7.2f %6.3f %8.1f %7.0f%n",
+        "%-26s %7.1f %7.2f %7.2f %7.2f %7.2f %7.2f %6.1f %7.0f %7.0f %7.0f %7.2f %7.2f %6.3f %8.1f %7.0f%n",
         r.policy(),
         100 * r.reuseShare(),
         r.skewMedian(),
         r.skewP99(),
         r.skewMax(),
+        r.skewSurgeP99(),
+        r.skewCalmP99(),
         100 * r.idleWindowsShare(),
         r.quickFirstTokenMillis(),
         r.quickSurgeFirstTokenMillis(),
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/PolicyRun.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/PolicyRun.java
@@ -10,9 +10,15 @@
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.model.EngineId;
+import org.coltsfootvale.core.model.FleetView;
 import org.coltsfootvale.core.model.Liveness;
 import org.coltsfootvale.core.model.RequestClass;
+import org.coltsfootvale.core.model.RouterIncarnation;
 import org.coltsfootvale.core.placement.CacheHint;
+import org.coltsfootvale.core.placement.DefaultDispatchExchange;
+import org.coltsfootvale.core.placement.DefaultEngineSelector;
+import org.coltsfootvale.core.placement.DispatchExchange;
+import org.coltsfootvale.core.placement.DispatchExchangeOptions;
 import org.coltsfootvale.core.placement.EngineSelector;
 import org.coltsfootvale.core.placement.PlacementRequest;
 import org.coltsfootvale.core.placement.Reservation;
@@ -33,6 +39,10 @@
 final class PolicyRun {
 
   private static final double CACHE_GIGABYTES_PER_TOKEN = 128e3 / 1e9;
+  private static final double EXCHANGE_PERIOD_MILLIS = 50;
+  private static final double PEER_DELAY_MILLIS = 5;
+  private static final int FRAME_BYTES = 60;
+  private static final int COUNT_BYTES = 20;
   private static final double DEADLINE_MILLIS = 60_000;
 
   private final Policies.Policy policy;
@@ -49,6 +59,7 @@
   private long reusableTokens;
   private long reusedTokens;
   private long importedTokens;
+  private double exchangedBytes;
   private double refused;
   private double failed;
   private double attempts;
@@ -64,10 +75,13 @@
     this.size = size;
     this.fleet = new Fleet(size, mix, spec, time);
     this.feed = new ViewFeed(fleet, time, size, seed);
-    this.skew = new SkewSampler(fleet.engines(), time);
+    this.skew = new SkewSampler(fleet.engines(), time, size::inSurge);
     for (int i = 0; i < size.routers(); i++) {
       routers.add(new Router(i, seed + i));
     }
+    if (policy.information() == Information.EXCHANGE) {
+      exchange();
+    }
     for (ChurnPlan.Change change : churn.changes()) {
       time.schedule(change.timeMillis(), () -> apply(change));
     }
@@ -76,10 +90,10 @@
   /** Runs the workload and returns what it came to. */
   RunResult run(List<Arrival> arrivals) {
     for (Arrival arrival : arrivals) {
-      time.runUntil(arrival.timeMillis());
-      time.schedule(arrival.timeMillis(), () -> new Request(arrival).start());
+      time.runUntil((double) arrival.timeMillis());
+      time.schedule((double) arrival.timeMillis(), () -> new Request(arrival).start());
     }
-    time.runUntil(size.durationMillis());
+    time.runUntil((double) size.durationMillis());
     double count = arrivals.size();
     return new RunResult(
         policy.name(),
@@ -87,15 +101,45 @@
         skew.percentile(50),
         skew.percentile(99),
         skew.percentile(100),
+        skew.surgeP99(),
+        skew.calmP99(),
         skew.idleShare(),
-        quick.getValueAtPercentile(95),
-        quickSurge.getValueAtPercentile(95),
-        reports.getValueAtPercentile(95),
+        percentile95(quick),
+        percentile95(quickSurge),
+        percentile95(reports),
         refused / count,
         failed / count,
         attempts / count,
         importedTokens * CACHE_GIGABYTES_PER_TOKEN,
-        feed.reportsHeardPerRouter() * entryBytes() * 1000 / size.durationMillis());
+        controlBytesPerSecond());
+  }
+
+  private static double percentile95(Histogram histogram) {
+    return (double) histogram.getValueAtPercentile(95);
+  }
+
+  /** Returns the bytes of load reports and of dispatch counts, heard and sent, of a router. */
+  private double controlBytesPerSecond() {
+    double bytes = feed.reportsHeardPerRouter() * entryBytes();
+    bytes += 2 * exchangedBytes / size.routers();
+    return bytes * 1000 / size.durationMillis();
+  }
+
+  private void exchange() {
+    for (int i = 0; i < routers.size(); i++) {
+      Router router = routers.get(i);
+      RouterIncarnation from = ViewFeed.name(i);
+      if (!(router.selector instanceof DefaultEngineSelector selector)) {
+        return;
+      }
+      for (DispatchExchange.Addressed due : router.exchange.due(selector.ownCounts())) {
+        Router peer = routers.get(ViewFeed.index(due.to()));
+        exchangedBytes += FRAME_BYTES + (double) COUNT_BYTES * due.counts().counts().size();
+        time.schedule(
+            time.now() + PEER_DELAY_MILLIS, () -> peer.exchange.onCounts(from, due.counts()));
+      }
+    }
+    time.schedule(time.now() + EXCHANGE_PERIOD_MILLIS, this::exchange);
   }
 
   private static int entryBytes() {
@@ -119,11 +163,17 @@
       default -> engine.join();
     }
     feed.onChange(change.engine());
+    skew.onChange();
+  }
+
+  private FleetView view(int router) {
+    return policy.information() == Information.PERFECT ? feed.actualView() : feed.view(router);
   }
 
   /** One router with its own selector, circuits and retry budget. */
   private final class Router {
 
+    private final DispatchExchange exchange;
     private final EngineSelector selector;
     private final DefaultCircuitBreakers circuits;
     private final RetryPolicy retries;
@@ -131,8 +181,11 @@
     Router(int index, long seed) {
       circuits = new DefaultCircuitBreakers(CircuitOptions.DEFAULT, time, seed);
       retries = new DefaultRetryPolicy(RetryOptions.DEFAULT, time, seed);
+      exchange =
+          new DefaultDispatchExchange(
+              ViewFeed.name(index), () -> feed.view(index), time, DispatchExchangeOptions.DEFAULT);
       selector =
-          policy.factory().create(fleet::state, () -> feed.view(index), circuits, time, seed);
+          policy.factory().create(fleet::state, () -> view(index), exchange, circuits, time, seed);
     }
   }
 
@@ -172,13 +225,18 @@
       if (engine.liveness() == Liveness.DEAD) {
         router.circuits.onFailure(engine.id().value());
         retry(reservation, Stage.NOT_SENT);
-      } else if (engine.liveness() == Liveness.LEAVING) {
+      } else if (engine.liveness() == Liveness.LEAVING || isOverBound(engine, reservation)) {
         retry(reservation, Stage.REFUSED);
       } else {
         send(reservation, engine);
       }
     }
 
+    private boolean isOverBound(FakeEngine engine, Reservation reservation) {
+      int withThisOne = engine.outstandingRequests() + 1;
+      return policy.enforcedByEngine() && withThisOne > reservation.outstandingRequestsMax();
+    }
+
     private void send(Reservation reservation, FakeEngine engine) {
       @Nullable EngineId importFrom = reservation.importFrom();
       @Nullable FakeEngine source = importFrom == null ? null : fleet.engine(importFrom);
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/RunResult.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/RunResult.java
@@ -8,6 +8,8 @@
  * @param skewMedian the median over windows of the greatest load divided by the mean
  * @param skewP99 the 99th percentile of the same
  * @param skewMax the greatest value of the same
+ * @param skewSurgeP99 the 99th percentile over windows in a surge
+ * @param skewCalmP99 the 99th percentile over windows without a change of an engine shortly before
  * @param idleWindowsShare the share of windows whose mean is too low to be judged
  * @param quickFirstTokenMillis the 95th percentile of quick requests' first token, outside surges
  * @param quickSurgeFirstTokenMillis the same during surges
@@ -24,6 +26,8 @@
     double skewMedian,
     double skewP99,
     double skewMax,
+    double skewSurgeP99,
+    double skewCalmP99,
     double idleWindowsShare,
     double quickFirstTokenMillis,
     double quickSurgeFirstTokenMillis,
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/SelectorFactory.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/SelectorFactory.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import org.coltsfootvale.core.model.FleetView;
 import org.coltsfootvale.core.placement.EngineSelector;
+import org.coltsfootvale.core.placement.PeerLoads;
 import org.coltsfootvale.core.release.FleetState;
 import org.coltsfootvale.core.retry.CircuitBreakers;
 
@@ -15,6 +16,7 @@
   EngineSelector create(
       Supplier<FleetState> state,
       Supplier<FleetView> view,
+      PeerLoads peers,
       CircuitBreakers circuits,
       InstantSource clock,
       long seed);
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/SkewSampler.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/SkewSampler.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.LongPredicate;
 import org.HdrHistogram.Histogram;
 import org.coltsfootvale.core.model.Liveness;
 
@@ -14,19 +15,25 @@
   private static final double SAMPLE_MILLIS = 100;
   private static final int SAMPLES_PER_WINDOW = 10;
   private static final double MEAN_MIN = 4;
+  private static final double CALM_AFTER_MILLIS = 20_000;
   private static final double SCALE = 1000;
 
   private final List<FakeEngine> engines;
   private final VirtualTime time;
+  private final LongPredicate surge;
   private final Histogram skew = new Histogram(3);
+  private final Histogram surgeSkew = new Histogram(3);
+  private final Histogram calmSkew = new Histogram(3);
   private final double[] sums;
   private final boolean[] liveThroughout;
   private int samples;
   private long idleWindows;
+  private double changedAtMillis = Double.NEGATIVE_INFINITY;
 
-  SkewSampler(List<FakeEngine> engines, VirtualTime time) {
+  SkewSampler(List<FakeEngine> engines, VirtualTime time, LongPredicate surge) {
     this.engines = engines;
     this.time = time;
+    this.surge = surge;
     this.sums = new double[engines.size()];
     this.liveThroughout = new boolean[engines.size()];
     Arrays.fill(liveThroughout, true);
@@ -38,6 +45,21 @@
     return skew.getValueAtPercentile(percentile) / SCALE;
   }
 
+  /** Returns the 99th percentile over the windows that lie in a surge. */
+  double surgeP99() {
+    return surgeSkew.getValueAtPercentile(99) / SCALE;
+  }
+
+  /** Returns the 99th percentile over the windows without a change of an engine shortly before. */
+  double calmP99() {
+    return calmSkew.getValueAtPercentile(99) / SCALE;
+  }
+
+  /** Tells that an engine's state has changed. */
+  void onChange() {
+    changedAtMillis = time.now();
+  }
+
   /** Returns the share of windows that are not judged. */
   double idleShare() {
     return (double) idleWindows / Math.max(1, idleWindows + skew.getTotalCount());
@@ -56,6 +78,16 @@
     time.schedule(time.now() + SAMPLE_MILLIS, this::sample);
   }
 
+  private void record(long value) {
+    skew.recordValue(value);
+    if (surge.test((long) time.now())) {
+      surgeSkew.recordValue(value);
+    }
+    if (time.now() - changedAtMillis >= CALM_AFTER_MILLIS) {
+      calmSkew.recordValue(value);
+    }
+  }
+
   private void closeWindow() {
     double total = 0;
     double max = 0;
@@ -71,7 +103,7 @@
     if (mean < MEAN_MIN * SAMPLES_PER_WINDOW) {
       idleWindows++;
     } else {
-      skew.recordValue(Math.round(SCALE * max / mean));
+      record(Math.round(SCALE * max / mean));
     }
     samples = 0;
     Arrays.fill(sums, 0);
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/ViewFeed.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/ViewFeed.java
@@ -8,11 +8,16 @@
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.coltsfootvale.core.model.DataCentreId;
 import org.coltsfootvale.core.model.EngineId;
 import org.coltsfootvale.core.model.EngineLoad;
 import org.coltsfootvale.core.model.EngineView;
 import org.coltsfootvale.core.model.FleetView;
+import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.model.Liveness;
+import org.coltsfootvale.core.model.RouterId;
+import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.model.RouterView;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -36,6 +41,7 @@
   private final double[][] reportOffsetMillis;
   private final double[][] livenessLagMillis;
   private final FleetView[] views;
+  private final Map<RouterId, RouterView> routers = new HashMap<>();
   private long version;
   private long reportsHeard;
 
@@ -63,14 +69,52 @@
       samples.add(new ArrayDeque<>());
       states.add(new ArrayList<>(List.of(new State(-1e9, Liveness.LIVE, engine.incarnation()))));
     }
+    for (int i = 0; i < size.routers(); i++) {
+      routers.put(name(i).id(), routerView(name(i)));
+    }
     refresh();
   }
 
+  /** Returns the name of a router. */
+  static RouterIncarnation name(int router) {
+    return new RouterIncarnation(new RouterId("router-" + router), 1);
+  }
+
+  /** Returns the index of a router from its name. */
+  static int index(RouterIncarnation router) {
+    return Integer.parseInt(router.id().value().substring("router-".length()));
+  }
+
+  private static RouterView routerView(RouterIncarnation name) {
+    HostPort address = new HostPort("127.0.0.1", 1);
+    DataCentreId dataCentre = new DataCentreId("dc");
+    return new RouterView(name, Liveness.LIVE, dataCentre, address, address, null, 1);
+  }
+
   /** Returns the view of a router. */
   FleetView view(int router) {
     return views[router % views.length];
   }
 
+  /** Returns the state and load of every engine as they are. */
+  FleetView actualView() {
+    Map<EngineId, EngineView> engines = new HashMap<>();
+    for (int engine = 0; engine < samples.size(); engine++) {
+      FakeEngine source = fleet.engines().get(engine);
+      List<State> history = states.get(engine);
+      double sinceMillis = history.get(history.size() - 1).sinceMillis();
+      engines.put(source.id(), engineView(source, sinceMillis));
+    }
+    return new FleetView(version, engines, routers);
+  }
+
+  private EngineView engineView(FakeEngine engine, double sinceMillis) {
+    EngineLoad load =
+        new EngineLoad(engine.outstandingRequests(), engine.queuedTokens(), 0, time.instant());
+    return new EngineView(
+        engine.id(), engine.incarnation(), engine.liveness(), VirtualTime.at(sinceMillis), load, 1);
+  }
+
   /** Returns how many load reports a router has heard on average. */
   double reportsHeardPerRouter() {
     return (double) reportsHeard / views.length;
@@ -115,7 +159,7 @@
               load,
               1));
     }
-    return new FleetView(version, engines, Map.of());
+    return new FleetView(version, engines, routers);
   }
 
   private State stateAt(int engine, double timeMillis) {
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/WorkloadGenerator.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/WorkloadGenerator.java
@@ -14,8 +14,6 @@
 
   private static final int CONTEXT_TOKENS_MAX = 32_000;
   private static final int QUICK_TURNS = 3;
-  private static final double SURGE_SHARE = 0.1;
-  private static final int SURGES = 2;
   private static final int SURGING_ORGANISATIONS = 2;
 
   private final Mix mix;
@@ -46,16 +44,9 @@
     return arrivals;
   }
 
-  /** Returns whether a time lies in one of the surges. */
-  boolean inSurge(long timeMillis) {
-    long period = size.durationMillis() / SURGES;
-    long phase = timeMillis % period;
-    return phase >= period / 2 && phase < period / 2 + (long) (period * SURGE_SHARE * SURGES);
-  }
-
   private void startChat(long timeMillis) {
     int organisation = organisation();
-    boolean surging = inSurge(timeMillis) && organisation < SURGING_ORGANISATIONS;
+    boolean surging = size.inSurge(timeMillis) && organisation < SURGING_ORGANISATIONS;
     if (!surging && random.nextDouble() >= 1 / mix.surgeFactor()) {
       return;
     }
@@ -95,7 +86,7 @@
               prompt,
               output,
               held,
-              inSurge(timeMillis)));
+              size.inSurge(timeMillis)));
       held = prompt + output;
       prompt = held + lengths(Math.max(1, addedMedian), 0.5);
       if (prompt > CONTEXT_TOKENS_MAX) {
