--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/Policies.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/policy/Policies.java
@@ -1,19 +1,22 @@
 package org.coltsfootvale.verify.policy;
 
-import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.coltsfootvale.core.model.EngineId;
 import org.coltsfootvale.core.model.EngineLoad;
 import org.coltsfootvale.core.model.EngineView;
 import org.coltsfootvale.core.placement.DefaultEngineSelector;
+import org.coltsfootvale.core.placement.PeerLoads;
 import org.coltsfootvale.core.placement.PlacementOptions;
 import org.coltsfootvale.core.placement.PlacementRequest;
 import org.coltsfootvale.core.support.RendezvousHashing;
@@ -32,33 +35,51 @@
    * @param name its name in the table
    * @param factory makes each router's selector
    * @param hints whether callers hand back the hint of their last answer
+   * @param information what routers know of the loads
    * @param enforcedByEngine whether engines refuse what exceeds the bound that routers tell them
    */
-  record Policy(String name, SelectorFactory factory, boolean hints, boolean enforcedByEngine) {}
+  record Policy(
+      String name,
+      SelectorFactory factory,
+      boolean hints,
+      Information information,
+      boolean enforcedByEngine) {}
 
   /** Returns the baselines. */
   static List<Policy> baselines(double loadBound) {
     return List.of(
-        baseline("round robin", seed -> roundRobin(seed)),
-        baseline("least reported", seed -> Policies::leastReported),
-        baseline("two choices", seed -> twoChoices(seed)),
-        baseline("plain rendezvous", seed -> Policies::rendezvous),
-        baseline("bounded ring", seed -> boundedRing(loadBound)));
+        baseline("round robin", Information.REPORTS, seed -> roundRobin(seed)),
+        baseline("least reported", Information.REPORTS, seed -> Policies::leastReported),
+        baseline("least actual", Information.PERFECT, seed -> Policies::leastReported),
+        baseline("two choices", Information.REPORTS, seed -> twoChoices(seed)),
+        baseline("plain rendezvous", Information.REPORTS, seed -> Policies::rendezvous),
+        baseline("bounded ring", Information.REPORTS, seed -> boundedRing(loadBound)));
   }
 
   /** Returns the product's own policy. */
-  static Policy own(String name, PlacementOptions options, boolean hints, boolean enforced) {
+  static Policy own(
+      String name,
+      PlacementOptions options,
+      boolean hints,
+      Information information,
+      boolean enforced) {
     SelectorFactory factory =
-        (state, view, circuits, clock, seed) ->
-            new DefaultEngineSelector(state, view, circuits, clock, options);
-    return new Policy(name, factory, hints, enforced);
+        (state, view, peers, circuits, clock, seed) ->
+            new DefaultEngineSelector(
+                state,
+                view,
+                information == Information.EXCHANGE ? peers : PeerLoads.UNKNOWN,
+                circuits,
+                clock,
+                options);
+    return new Policy(name, factory, hints, information, enforced);
   }
 
-  private static Policy baseline(String name, RuleFactory rules) {
+  private static Policy baseline(String name, Information information, RuleFactory rules) {
     SelectorFactory factory =
-        (state, view, circuits, clock, seed) ->
+        (state, view, peers, circuits, clock, seed) ->
             new BaselineSelector(view, circuits, clock, rules.create(seed));
-    return new Policy(name, factory, false, false);
+    return new Policy(name, factory, false, information, false);
   }
 
   private static BaselineSelector.Rule roundRobin(long seed) {
@@ -99,26 +120,24 @@
   }
 
   private static BaselineSelector.Rule boundedRing(double loadBound) {
-    Map<List<EngineId>, NavigableMap<Long, EngineId>> rings = new ConcurrentHashMap<>();
+    Map<Set<EngineId>, NavigableMap<Long, EngineId>> rings = new ConcurrentHashMap<>();
     return (request, live, estimate) -> {
-      List<EngineId> ids = live.stream().map(EngineView::id).toList();
-      NavigableMap<Long, EngineId> ring = rings.computeIfAbsent(ids, Policies::ring);
+      Map<EngineId, EngineView> byId = new HashMap<>();
+      live.forEach(engine -> byId.put(engine.id(), engine));
+      NavigableMap<Long, EngineId> ring = rings.computeIfAbsent(byId.keySet(), Policies::ring);
       double sum = live.stream().mapToDouble(estimate::of).sum();
       double bound = Math.ceil(loadBound * (sum + 1) / live.size());
       long key = RendezvousHashing.hash(request.chat());
-      List<EngineId> walk = new ArrayList<>(ring.tailMap(key).values());
-      walk.addAll(ring.headMap(key).values());
-      for (EngineId id : walk) {
-        EngineView engine = live.get(ids.indexOf(id));
-        if (estimate.of(engine) + 1 <= bound) {
-          return engine;
-        }
-      }
-      return live.get(ids.indexOf(walk.get(0)));
+      Stream<EngineId> walk =
+          Stream.concat(ring.tailMap(key).values().stream(), ring.headMap(key).values().stream());
+      return walk.map(byId::get)
+          .filter(engine -> engine != null && estimate.of(engine) + 1 <= bound)
+          .findFirst()
+          .orElse(live.get(0));
     };
   }
 
-  private static NavigableMap<Long, EngineId> ring(List<EngineId> ids) {
+  private static NavigableMap<Long, EngineId> ring(Set<EngineId> ids) {
     NavigableMap<Long, EngineId> ring = new TreeMap<>();
     for (EngineId id : ids) {
       long hash = RendezvousHashing.hash(id.value());
