--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/ReleaseFollower.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/ReleaseFollower.java
@@ -39,6 +39,7 @@
   private static final Duration UNREADY_RETRY = Duration.ofMillis(400);
   private static final Duration READER_REFRESH = Duration.ofSeconds(20);
   private static final Duration STALE_REFRESH = Duration.ofSeconds(5);
+  private static final Duration ISOLATION_MAX = Duration.ofSeconds(10);
   private static final int NOTES_PER_REQUEST = 64;
 
   private final ReleaseLog log;
@@ -55,6 +56,7 @@
   private final AtomicBoolean fetching = new AtomicBoolean();
   private final AtomicReference<Instant> refreshDueAt = new AtomicReference<>(Instant.EPOCH);
   private volatile Instant gossipHeardAt = Instant.EPOCH;
+  private volatile Instant platformHeardAt = Instant.EPOCH;
   private KeyValueStore.@Nullable Watch watch;
 
   /**
@@ -98,13 +100,22 @@
     boolean gossipStale = gossipHeardAt.plus(GOSSIP_STALE).isBefore(now);
     if (!log.ready()) {
       refresh(UNREADY_RETRY);
-    } else if (reader) {
-      refresh(READER_REFRESH);
     } else if (gossipStale) {
       refresh(STALE_REFRESH);
+    } else if (reader) {
+      refresh(READER_REFRESH);
     }
   }
 
+  /**
+   * Tells whether this router may take new work: it knows a revision, and lately the platform or a
+   * peer has been in reach to tell it of a newer one.
+   */
+  public boolean mayServe() {
+    Instant heardAt = gossipHeardAt.isAfter(platformHeardAt) ? gossipHeardAt : platformHeardAt;
+    return log.ready() && clock.instant().isBefore(heardAt.plus(ISOLATION_MAX));
+  }
+
   /** Closes the watch. */
   public synchronized void close() {
     if (watch != null) {
@@ -183,6 +194,9 @@
         .whenComplete(
             (revision, error) -> {
               refreshing.set(false);
+              if (error == null) {
+                platformHeardAt = clock.instant();
+              }
               if (!wasReady && log.ready()) {
                 logger.atInfo().log("release log ready at revision %d", log.current().revision());
               }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ControlModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ControlModule.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import javax.inject.Singleton;
@@ -44,8 +45,10 @@
 import org.coltsfootvale.router.control.PlatformReaderRole;
 import org.coltsfootvale.router.control.ReleaseFollower;
 import org.coltsfootvale.router.control.ShareLoop;
+import org.coltsfootvale.router.control.WeightPoller;
 import org.coltsfootvale.router.forward.ForwardService;
 import org.coltsfootvale.router.platform.HostListClient;
+import org.coltsfootvale.router.platform.WeightStoreClient;
 import org.coltsfootvale.router.request.Drain;
 
 /** Provides the inner protocol and the loops of the control traffic. */
@@ -144,6 +147,17 @@
     return new HostListPoller(client, membership, role, clock, interval, jitterMillis);
   }
 
+  @Provides
+  @Singleton
+  static WeightPoller weightPoller(
+      WeightStoreClient client,
+      Membership membership,
+      Supplier<FleetState> state,
+      InstantSource clock,
+      @Jitter LongSupplier jitterMillis) {
+    return new WeightPoller(client, membership, state, clock, jitterMillis);
+  }
+
   @Provides
   @Singleton
   static EngineProbe engineProbe(
@@ -188,39 +202,7 @@
         timings);
   }
 
-  @Provides
-  @Singleton
-  static ControlLoops controlLoops(
-      ScheduledExecutorService executor,
-      MeterRegistry meters,
-      RouterSettings settings,
-      Membership membership,
-      GossipLoop gossip,
-      ReleaseFollower releases,
-      HostListPoller hosts,
-      EngineProbe probe,
-      ShareLoop shares,
-      OrderSender orders,
-      OnceRegistry keys,
-      Drain drain) {
-    OwnLoad ownLoad =
-        new OwnLoad(membership, drain::inProgress, settings.requests().concurrentMax());
-    return new ControlLoops(
-        executor,
-        meters,
-        settings,
-        membership,
-        gossip,
-        releases,
-        hosts,
-        probe,
-        shares,
-        orders,
-        keys,
-        ownLoad);
-  }
-
-  private static java.util.concurrent.ThreadFactory daemon(String name) {
+  private static ThreadFactory daemon(String name) {
     return task -> {
       Thread thread = new Thread(task, name);
       thread.setDaemon(true);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/EdgeModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/EdgeModule.java
@@ -42,6 +42,7 @@
 import org.coltsfootvale.router.caller.CallerRoutes;
 import org.coltsfootvale.router.control.ControlLoops;
 import org.coltsfootvale.router.control.PlatformReaderRole;
+import org.coltsfootvale.router.control.ReleaseFollower;
 import org.coltsfootvale.router.forward.ForwardService;
 import org.coltsfootvale.router.forward.HomeForwarder;
 import org.coltsfootvale.router.lifecycle.RouterServer;
@@ -249,7 +250,7 @@
   static CallerRoutes callerRoutes(
       RouterIncarnation self,
       Supplier<FleetState> fleet,
-      ReleaseLog releases,
+      ReleaseFollower releases,
       EntryAnswers entryAnswers,
       KeyPrefixes prefixes,
       RouterSettings settings,
@@ -264,7 +265,7 @@
         new CallerRoutes.Collaborators(
             self,
             fleet,
-            releases::ready,
+            releases::mayServe,
             entryAnswers,
             prefixes,
             Duration.ofMillis(settings.security().keyPrefixLifetimeMillis()),
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/LoopModule.java
@@ -0,0 +1,106 @@
+package org.coltsfootvale.router.wiring;
+
+import dagger.Module;
+import dagger.Provides;
+import dagger.multibindings.IntoSet;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import javax.inject.Singleton;
+import org.coltsfootvale.core.membership.Membership;
+import org.coltsfootvale.core.once.OnceRegistry;
+import org.coltsfootvale.core.orders.OrderSender;
+import org.coltsfootvale.core.settings.RouterSettings;
+import org.coltsfootvale.router.control.ControlLoop;
+import org.coltsfootvale.router.control.ControlLoops;
+import org.coltsfootvale.router.control.EngineProbe;
+import org.coltsfootvale.router.control.GossipLoop;
+import org.coltsfootvale.router.control.HostListPoller;
+import org.coltsfootvale.router.control.OwnLoad;
+import org.coltsfootvale.router.control.ReleaseFollower;
+import org.coltsfootvale.router.control.ShareLoop;
+import org.coltsfootvale.router.control.WeightPoller;
+import org.coltsfootvale.router.request.Drain;
+
+/** Provides the loops of the control traffic, each at its interval. */
+@Module
+final class LoopModule {
+
+  private static final Duration MEMBERSHIP_INTERVAL = Duration.ofMillis(100);
+  private static final Duration RELEASE_INTERVAL = Duration.ofMillis(200);
+  private static final Duration HOST_LIST_INTERVAL = Duration.ofMillis(500);
+  private static final Duration SECOND = Duration.ofSeconds(1);
+
+  private LoopModule() {}
+
+  @Provides
+  @IntoSet
+  static ControlLoop membershipLoop(Membership membership) {
+    return ControlLoop.of("membership", MEMBERSHIP_INTERVAL, membership::tick);
+  }
+
+  @Provides
+  @IntoSet
+  static ControlLoop gossip(GossipLoop gossip, RouterSettings settings) {
+    Duration interval = Duration.ofMillis(settings.control().gossipTickMillis());
+    return ControlLoop.of("gossip", interval, gossip::tick);
+  }
+
+  @Provides
+  @IntoSet
+  static ControlLoop releases(ReleaseFollower releases) {
+    return new ControlLoop("release", RELEASE_INTERVAL, releases::tick, releases::close);
+  }
+
+  @Provides
+  @IntoSet
+  static ControlLoop hosts(HostListPoller hosts) {
+    return ControlLoop.of("host_list", HOST_LIST_INTERVAL, hosts::tick);
+  }
+
+  @Provides
+  @IntoSet
+  static ControlLoop weights(WeightPoller weights) {
+    return ControlLoop.of("weights", SECOND, weights::tick);
+  }
+
+  @Provides
+  @IntoSet
+  static ControlLoop probes(EngineProbe probe, RouterSettings settings) {
+    Duration interval = Duration.ofMillis(settings.control().probeMillis());
+    return ControlLoop.of("engine_probe", interval, probe::tick);
+  }
+
+  @Provides
+  @IntoSet
+  static ControlLoop shares(ShareLoop shares) {
+    return ControlLoop.of("shares", SECOND, shares::tick);
+  }
+
+  @Provides
+  @IntoSet
+  static ControlLoop orders(OrderSender orders) {
+    return new ControlLoop("orders", SECOND, orders::tick, orders::stop);
+  }
+
+  @Provides
+  @IntoSet
+  static ControlLoop keys(OnceRegistry keys) {
+    return ControlLoop.of("keys", SECOND, keys::tick);
+  }
+
+  @Provides
+  @IntoSet
+  static ControlLoop ownLoad(Membership membership, Drain drain, RouterSettings settings) {
+    OwnLoad load = new OwnLoad(membership, drain::inProgress, settings.requests().concurrentMax());
+    return ControlLoop.of("own_load", SECOND, load::tick);
+  }
+
+  @Provides
+  @Singleton
+  static ControlLoops controlLoops(
+      ScheduledExecutorService executor, MeterRegistry meters, Set<ControlLoop> loops) {
+    return new ControlLoops(executor, meters, loops);
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/RouterComponent.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/RouterComponent.java
@@ -14,6 +14,7 @@
       ServingDecisionModule.class,
       PlatformModule.class,
       ControlModule.class,
+      LoopModule.class,
       EdgeModule.class
     })
 public interface RouterComponent {
