--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/AppliedNotes.java
@@ -0,0 +1,152 @@
+package org.coltsfootvale.core.release;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+/**
+ * The notes that one router has applied, in order and only upwards, and the state that follows from
+ * them. Thread-safe; listeners run outside the lock, one state at a time.
+ */
+final class AppliedNotes {
+
+  private final FleetStateReducer reducer;
+  private final int retainedMax;
+  private final Object lock = new Object();
+  private final ArrayDeque<AcceptedNote> retained = new ArrayDeque<>();
+  private final Map<String, AcceptedNote> byId = new HashMap<>();
+  private final Queue<FleetState> undelivered = new ArrayDeque<>();
+  private final List<Consumer<FleetState>> listeners = new CopyOnWriteArrayList<>();
+  private boolean delivering;
+  private boolean heardAny;
+  private long highestHeard;
+  private volatile boolean ready;
+  private FleetState base = FleetState.empty();
+  private volatile FleetState current = FleetState.empty();
+
+  /** Creates an empty log that retains a number of notes. */
+  AppliedNotes(FleetStateReducer reducer, int retainedMax) {
+    this.reducer = reducer;
+    this.retainedMax = retainedMax;
+  }
+
+  FleetState current() {
+    return current;
+  }
+
+  long revision() {
+    return current.revision();
+  }
+
+  boolean ready() {
+    return ready;
+  }
+
+  /** Applies a note if it is the next one, or a snapshot if it is newer; ignores any other. */
+  void apply(AcceptedNote note) {
+    synchronized (lock) {
+      if (FleetSnapshots.isSnapshot(note.note())) {
+        applySnapshot(note);
+      } else {
+        applyNext(note);
+      }
+      updateReady();
+    }
+    deliver();
+  }
+
+  private void applySnapshot(AcceptedNote snapshot) {
+    if (snapshot.revision() <= current.revision()) {
+      return;
+    }
+    current = FleetSnapshots.state(snapshot);
+    base = current;
+    retained.clear();
+    byId.clear();
+    undelivered.add(current);
+  }
+
+  private void applyNext(AcceptedNote note) {
+    if (note.revision() != current.revision() + 1) {
+      return;
+    }
+    current = reducer.apply(current, note.note());
+    retained.add(note);
+    byId.put(note.note().id(), note);
+    undelivered.add(current);
+    if (retained.size() > retainedMax) {
+      AcceptedNote oldest = retained.remove();
+      base = reducer.apply(base, oldest.note());
+      byId.remove(oldest.note().id(), oldest);
+    }
+  }
+
+  /** Records that the platform's log was read to its end. */
+  void onPlatformRead() {
+    synchronized (lock) {
+      heardAny = true;
+      updateReady();
+    }
+  }
+
+  /** Records the newest revision that a peer has applied. */
+  void onPeerRevision(long revision) {
+    synchronized (lock) {
+      heardAny = true;
+      highestHeard = Math.max(highestHeard, revision);
+      updateReady();
+    }
+  }
+
+  Optional<AcceptedNote> find(String id) {
+    synchronized (lock) {
+      return Optional.ofNullable(byId.get(id));
+    }
+  }
+
+  /** Returns retained notes; first the snapshot behind them if older ones are asked for. */
+  List<AcceptedNote> notesAfter(long revision, int limit) {
+    synchronized (lock) {
+      List<AcceptedNote> notes = new ArrayList<>();
+      if (revision < base.revision()) {
+        notes.add(FleetSnapshots.of(base));
+      }
+      retained.stream().filter(note -> note.revision() > revision).limit(limit).forEach(notes::add);
+      return notes.subList(0, Math.min(limit, notes.size()));
+    }
+  }
+
+  void addListener(Consumer<FleetState> listener) {
+    listeners.add(listener);
+  }
+
+  private void updateReady() {
+    ready |= heardAny && current.revision() >= highestHeard;
+  }
+
+  private void deliver() {
+    while (true) {
+      FleetState next;
+      synchronized (lock) {
+        if (delivering || undelivered.isEmpty()) {
+          return;
+        }
+        delivering = true;
+        next = undelivered.remove();
+      }
+      try {
+        listeners.forEach(listener -> listener.accept(next));
+      } finally {
+        synchronized (lock) {
+          delivering = false;
+        }
+      }
+    }
+  }
+}
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/ReleaseLog.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/ReleaseLog.java
@@ -35,10 +35,19 @@
   /** Reads new revisions from the platform; returns the newest applied one. */
   CompletableFuture<Long> refresh();
 
+  /**
+   * Records the newest revision that a peer says it has applied. A starting router is not ready
+   * below the highest one heard.
+   */
+  default void onPeerRevision(long revision) {}
+
   /** Applies notes received from a peer; ignores those already applied or out of order. */
   void applyFromPeer(List<AcceptedNote> notes);
 
-  /** Returns retained notes after a revision, oldest first, at most {@code limit}. */
+  /**
+   * Returns retained notes after a revision, oldest first, at most {@code limit}. If older ones are
+   * no longer retained, the first is a snapshot, which {@link #applyFromPeer} takes as well.
+   */
   List<AcceptedNote> notesAfter(long revision, int limit);
 
   /** Adds a listener that is called with each newly applied state. */
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -1,8 +1,10 @@
 package org.coltsfootvale.verify;
 
 import java.util.Arrays;
+import org.coltsfootvale.verify.cost.CostCommand;
 import org.coltsfootvale.verify.policy.LimitsCommand;
 import org.coltsfootvale.verify.policy.PolicyCommand;
+import org.coltsfootvale.verify.slopes.SlopesCommand;
 
 /** Starts a measurement, a trace replay or a specification check by its name. */
 public final class VerifyMain {
@@ -20,12 +22,21 @@
     String command = args.length == 0 ? "" : args[0];
     String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
     return switch (command) {
+      case "cost" -> new CostCommand(System.out).run(rest);
       case "policy" -> new PolicyCommand(System.out).run(rest);
       case "limits" -> new LimitsCommand(System.out).run(rest);
-      default -> {
-        System.out.println("commands: policy, limits");
-        yield EXIT_USAGE;
-      }
+      case "slopes" -> slopes(rest);
+      default -> usage();
     };
   }
+
+  private static int slopes(String[] args) {
+    SlopesCommand.run(args);
+    return 0;
+  }
+
+  private static int usage() {
+    System.err.println("commands: cost | limits | policy | slopes [routersMax [seed]]");
+    return EXIT_USAGE;
+  }
 }
