--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import org.coltsfootvale.verify.cost.CostCommand;
+import org.coltsfootvale.verify.memory.MemoryCommand;
 import org.coltsfootvale.verify.policy.LimitsCommand;
 import org.coltsfootvale.verify.policy.PolicyCommand;
 import org.coltsfootvale.verify.slopes.SlopesCommand;
@@ -23,6 +24,7 @@
     String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
     return switch (command) {
       case "cost" -> new CostCommand(System.out).run(rest);
+      case "memory" -> new MemoryCommand(System.out).run();
       case "policy" -> new PolicyCommand(System.out).run(rest);
       case "limits" -> new LimitsCommand(System.out).run(rest);
       case "slopes" -> slopes(rest);
@@ -36,7 +38,7 @@
   }
 
   private static int usage() {
-    System.err.println("commands: cost | limits | policy | slopes [routersMax [seed]]");
+    System.err.println("commands: cost | limits | memory | policy | slopes [routersMax [seed]]");
     return EXIT_USAGE;
   }
 }
