--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/DefaultGossip.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/DefaultGossip.java
@@ -26,6 +26,10 @@
 public final class DefaultGossip implements Gossip {
 
   private static final int DIGEST_MISMATCHES_MAX = 4;
+
+  /** The links between which half of the budget, that for sending, is divided. */
+  private static final int LINKS_SHARING_BUDGET = 5;
+
   private static final int INBOUND_LINKS_MAX = 64;
   private static final Duration PAUSE_MIN = Duration.ofSeconds(1);
   private static final Duration INBOUND_LINK_RETENTION = Duration.ofSeconds(10);
@@ -156,7 +160,7 @@
     links.entrySet().removeIf(link -> link.getValue().incarnation != incarnation(link.getKey()));
     for (RouterId peer : peers) {
       long incarnation = incarnation(peer);
-      links.computeIfAbsent(peer, key -> new GossipLink(true, incarnation, now)).chosen = true;
+      links.computeIfAbsent(peer, key -> newLink(true, incarnation, now)).chosen = true;
     }
     for (Map.Entry<RouterId, GossipLink> link : links.entrySet()) {
       if (!peers.contains(link.getKey())) {
@@ -193,7 +197,14 @@
       links.values().removeIf(link -> !link.chosen);
     }
     long incarnation = incarnation(from);
-    return links.computeIfAbsent(from, key -> new GossipLink(false, incarnation, now));
+    return links.computeIfAbsent(from, key -> newLink(false, incarnation, now));
+  }
+
+  private GossipLink newLink(boolean chosen, long incarnation, Instant now) {
+    int bytesPerSecond = options.bytesPerSecond() / (2 * LINKS_SHARING_BUDGET);
+    int burstBytes = options.burstBytes() / (2 * LINKS_SHARING_BUDGET);
+    TokenBucket loadBudget = new TokenBucket(bytesPerSecond, burstBytes, now);
+    return new GossipLink(chosen, incarnation, loadBudget, now);
   }
 
   private long incarnation(RouterId router) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/EntryCollector.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/EntryCollector.java
@@ -49,7 +49,12 @@
   }
 
   private void collectClass(EntryClass entryClass, RouterId to, GossipLink link, Instant now) {
+    boolean load = entryClass == EntryClass.LOAD;
+    int bytesBefore = bytes;
     double allowance = traffic.allowance(entryClass, now);
+    if (load) {
+      allowance = Math.min(allowance, bytes + link.loadBudget.available(now));
+    }
     long position = link.position(entryClass);
     if (!store.hasAfter(entryClass, position)) {
       return;
@@ -68,6 +73,9 @@
       }
       link.moveTo(entryClass, position);
     }
+    if (load) {
+      link.loadBudget.charge(bytes - bytesBefore, now);
+    }
     traffic.heldBack(store.countAfter(entryClass, position, HELD_BACK_COUNT_MAX));
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/GossipLink.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/GossipLink.java
@@ -15,6 +15,9 @@
   /** The peer's incarnation number when the link was made, 0 if it was unknown. */
   final long incarnation;
 
+  /** Bounds the load entries on this link, so that a peer with many links is not flooded. */
+  final TokenBucket loadBudget;
+
   boolean introduced;
   long revisionSent;
   Instant sentAt;
@@ -23,7 +26,8 @@
   int digestMismatches;
 
   /** Creates a link on which nothing has been sent. */
-  GossipLink(boolean chosen, long incarnation, Instant now) {
+  GossipLink(boolean chosen, long incarnation, TokenBucket loadBudget, Instant now) {
+    this.loadBudget = loadBudget;
     this.incarnation = incarnation;
     this.chosen = chosen;
     this.sentAt = Instant.EPOCH;
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -17,7 +17,7 @@
     switch (command) {
       case "slopes" -> SlopesCommand.run(rest);
       default -> {
-        System.err.println("commands: slopes [routersMax [seed]]");
+        System.err.println("commands: slopes [--gossip KIND] [--routers N] [--seed S]");
         System.exit(EXIT_USAGE);
       }
     }
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/slopes/SlopesCommand.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/slopes/SlopesCommand.java
@@ -2,42 +2,68 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 
 /** Prints a table of what membership and gossip cost at several sizes of the fleet. */
 public final class SlopesCommand {
 
-  private static final long SEED = 4;
+  private static final String SEED = "4";
   private static final String UNIFORM = "uniform";
 
   /** The baseline sorts all its changes for each message, which takes minutes beyond this size. */
   private static final int UNIFORM_ROUTERS_MAX = 20;
 
+  private static final Options OPTIONS =
+      new Options()
+          .addOption("g", "gossip", true, "mesh, random or uniform; all by default")
+          .addOption("r", "routers", true, "6, 20, 80, 160 or 320; all by default")
+          .addOption("s", "seed", true, "the seed, 4 by default");
+
   private SlopesCommand() {}
 
   /**
    * Runs the command.
    *
-   * @param args {@code [routersMax [seed]]}
+   * @throws IllegalArgumentException if an option is unknown or has no valid value
    */
   public static void run(String... args) {
-    int routersMax = args.length > 0 ? Integer.parseInt(args[0]) : Integer.MAX_VALUE;
-    long seed = args.length > 1 ? Long.parseLong(args[1]) : SEED;
-    Map<String, GossipFactory> kinds = new LinkedHashMap<>();
-    kinds.put("mesh", GossipFactory.mesh());
-    kinds.put("random links", GossipFactory.randomLinks());
-    kinds.put(UNIFORM, GossipFactory.uniform());
+    CommandLine line = parse(args);
+    long seed = Long.parseLong(line.getOptionValue("seed", SEED));
     System.out.println(SlopeRow.HEADING);
     for (FleetShape shape : FleetShape.SIZES) {
-      if (shape.routers() <= routersMax) {
-        kinds.forEach((name, factory) -> measure(name, shape, factory, seed));
+      String routers = String.valueOf(shape.routers());
+      if (line.getOptionValue("routers", routers).equals(routers)) {
+        kinds().forEach((name, factory) -> measure(line, name, shape, factory, seed));
       }
     }
   }
 
-  private static void measure(String name, FleetShape shape, GossipFactory factory, long seed) {
+  private static void measure(
+      CommandLine line, String name, FleetShape shape, GossipFactory factory, long seed) {
+    boolean asked = line.getOptionValue("gossip", name).equals(name);
     boolean tooSlow = name.equals(UNIFORM) && shape.routers() > UNIFORM_ROUTERS_MAX;
-    if (!tooSlow) {
+    if (asked && !tooSlow) {
       System.out.println(new SlopeMeasurement(name, shape, factory, seed).run().toMarkdown());
     }
   }
+
+  private static Map<String, GossipFactory> kinds() {
+    Map<String, GossipFactory> kinds = new LinkedHashMap<>();
+    kinds.put("mesh", GossipFactory.mesh());
+    kinds.put("random", GossipFactory.randomLinks());
+    kinds.put(UNIFORM, GossipFactory.uniform());
+    return kinds;
+  }
+
+  private static CommandLine parse(String... args) {
+    try {
+      return new DefaultParser().parse(OPTIONS, args);
+    } catch (ParseException e) {
+      throw new IllegalArgumentException(
+          "slopes takes --gossip, --routers and --seed: " + e.getMessage(), e);
+    }
+  }
 }
