--- a/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/ExitCode.java
+++ b/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/ExitCode.java
@@ -15,7 +15,9 @@
   /** A file cannot be read or is not valid. */
   INVALID_FILE(5),
   /** The request may or may not have run. */
-  OUTCOME_UNKNOWN(6);
+  OUTCOME_UNKNOWN(6),
+  /** A trace does not end as it states. */
+  MISMATCHED(7);
 
   private final int number;
 
--- a/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/Help.java
+++ b/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/Help.java
@@ -40,7 +40,7 @@
 
   private void printExitCodes() {
     out.printf("%nExit codes: 0 done, 1 refused, 2 wrong usage, 3 no router answers,%n");
-    out.printf("4 not reached in time, 5 invalid file, 6 outcome unknown.%n");
+    out.printf("4 not reached in time, 5 invalid file, 6 outcome unknown, 7 trace differs.%n");
     out.flush();
   }
 }
--- a/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/Main.java
+++ b/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/Main.java
@@ -121,6 +121,7 @@
     List<Command> commands = new ArrayList<>(NoteCommands.all());
     commands.addAll(RouterCommands.all());
     commands.add(new AskCommand());
+    commands.add(new ReplayCommand());
     return List.copyOf(commands);
   }
 }
--- a/coltsfootvale-cli/src/test/java/org/coltsfootvale/cli/MainTest.java
+++ b/coltsfootvale-cli/src/test/java/org/coltsfootvale/cli/MainTest.java
@@ -30,6 +30,11 @@
   private static final String IN_FORCE =
       "{\"id\":\"n1\",\"revision\":2,\"inForceEverywhere\":true,\"routers\":[]}";
 
+  private static final String TRACE =
+      """
+      {"event":"start","router":"a","incarnation":1}
+      {"event":"request","router":"a","run":"r","organisation":"o","key":"k","expect":"run"}
+      """;
   private static final String SETTINGS =
       """
       router:
@@ -209,6 +214,27 @@
     assertTrue(err().contains("line 15"), err());
   }
 
+  @Test
+  public void aTraceThatEndsAsStatedIsAccepted() throws IOException {
+    Files.writeString(note, TRACE);
+    assertEquals(run("replay", note.toString()), ExitCode.OK, err());
+    assertTrue(out().contains("2 events, 1 outcomes checked, 0 differ"), out());
+  }
+
+  @Test
+  public void aTraceThatEndsOtherwiseIsShownWithItsLine() throws IOException {
+    Files.writeString(note, TRACE.replace("\"run\"}", "\"attach\"}"));
+    assertEquals(run("replay", note.toString()), ExitCode.MISMATCHED);
+    assertTrue(out().contains(":2: expected 'attach', but was 'run'"), out());
+  }
+
+  @Test
+  public void aLineThatIsNoEventIsRefusedWithItsNumber() throws IOException {
+    Files.writeString(note, TRACE + "{}\n");
+    assertEquals(run("replay", note.toString()), ExitCode.INVALID_FILE);
+    assertTrue(err().contains("Line 3"), err());
+  }
+
   @Test
   public void everyCommandHasHelpWithExamples() {
     for (String name :
@@ -220,7 +246,8 @@
             "entry",
             "ask",
             "state",
-            "settings check")) {
+            "settings check",
+            "replay")) {
       out.reset();
       List<String> arguments = new ArrayList<>(Arrays.asList(name.split(" ", -1)));
       arguments.add("--help");
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/caller/CallersProgram.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/caller/CallersProgram.java
@@ -11,12 +11,13 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
 
 /** Runs a plan of callers, shows progress and prints the report. */
 public final class CallersProgram {
 
   private static final int TIMER_THREADS = 8;
-  private static final long PROGRESS_SECONDS = 5;
+  private static final int PROGRESS_SECONDS = 5;
   private static final long SKEW_SAMPLE_MILLIS = 500;
   private static final long FINISH_SECONDS_MAX = 30;
   private static final long POLL_MILLIS = 100;
@@ -25,6 +26,7 @@
   private final List<String> entryAddresses;
   private final Optional<String> operatorToken;
   private final PrintStream out;
+  private final CallersContext.@Nullable Deadline end;
 
   /**
    * Creates the program.
@@ -36,6 +38,21 @@
    */
   public CallersProgram(
       Plan plan, List<String> entryAddresses, Optional<String> operatorToken, PrintStream out) {
+    this(plan, entryAddresses, operatorToken, out, null);
+  }
+
+  /**
+   * Creates the program with an end of its own.
+   *
+   * @param end tells whether new requests may still begin, or null to go by the plan's duration
+   */
+  CallersProgram(
+      Plan plan,
+      List<String> entryAddresses,
+      Optional<String> operatorToken,
+      PrintStream out,
+      CallersContext.@Nullable Deadline end) {
+    this.end = end;
     this.plan = plan;
     this.entryAddresses = List.copyOf(entryAddresses);
     this.operatorToken = operatorToken;
@@ -53,17 +70,11 @@
   }
 
   private long run(HttpJson http, ScheduledExecutorService timers) throws InterruptedException {
-    long endNanos = System.nanoTime() + Duration.ofSeconds(plan.durationSeconds()).toNanos();
     UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(plan.seed());
     Tally tally = new Tally();
     CallersContext context =
         new CallersContext(
-            plan,
-            http,
-            timers,
-            entries(http, random),
-            tally,
-            () -> System.nanoTime() - endNanos >= 0);
+            plan, http, timers, entries(http, random), tally, end == null ? afterDuration() : end);
     FleetCounts before = FleetCounts.read(http, plan.fleet(), operatorToken);
     SkewSampler skew = new SkewSampler(http, plan.fleet().engines());
     var unused =
@@ -79,6 +90,11 @@
     return new Report(out, tally, before, after).print(skew.describe(), keyed.finalOutcomes());
   }
 
+  private CallersContext.Deadline afterDuration() {
+    long endNanos = System.nanoTime() + Duration.ofSeconds(plan.durationSeconds()).toNanos();
+    return () -> System.nanoTime() - endNanos >= 0;
+  }
+
   private List<EntryAnswerCache> entries(HttpJson http, UniformRandomProvider random) {
     List<EntryAnswerCache> entries = new ArrayList<>();
     for (int i = 0; i < plan.callers(); i++) {
@@ -92,8 +108,9 @@
       throws InterruptedException {
     int elapsedSeconds = 0;
     while (!context.deadline().passed()) {
-      TimeUnit.SECONDS.sleep(PROGRESS_SECONDS);
-      elapsedSeconds += (int) PROGRESS_SECONDS;
+      int step = Math.min(PROGRESS_SECONDS, Math.max(1, plan.durationSeconds() - elapsedSeconds));
+      TimeUnit.SECONDS.sleep(step);
+      elapsedSeconds += step;
       long whole =
           plan.chats().stream()
               .mapToLong(kind -> context.tally().count(kind.name() + " whole"))
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/caller/TurnListener.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/caller/TurnListener.java
@@ -64,6 +64,10 @@
       return;
     }
     askAgain = "true".equals(response.header("Coltsfootvale-Ask-Again"));
+    if (response.isSuccessful()) {
+      end(TurnOutcome.CONNECTION_LOST, RETRY_MILLIS_DEFAULT);
+      return;
+    }
     end(refusal(response), retryMillis(response));
   }
 
@@ -83,9 +87,6 @@
   }
 
   private TurnOutcome refusal(Response response) {
-    if (response.isSuccessful()) {
-      return TurnOutcome.TRUNCATED;
-    }
     try {
       return outcome(Json.parseObject(response.body().string()));
     } catch (java.io.IOException | IllegalArgumentException | IllegalStateException e) {
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/service/ServiceStandIn.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/service/ServiceStandIn.java
@@ -74,9 +74,12 @@
     String key = key(ctx);
     int run = counts.merge(key, 1, Integer::sum);
     long millis = workMillis + (faults().take(Fault.LATE) ? faults().lateMillis() : 0);
-    String shownKey = faults().take(Fault.CROSSED) ? key + "-crossed" : key;
-    ObjectNode answer = answer(ctx, shownKey, run);
-    ctx.header("X-Request-Id", Objects.requireNonNullElse(ctx.header("X-Request-Id"), ""));
+    String suffix = faults().take(Fault.CROSSED) ? "-crossed" : "";
+    ObjectNode answer = answer(ctx, key + suffix, run);
+    String requestId = ctx.header("X-Request-Id");
+    if (requestId != null) {
+      ctx.header("X-Request-Id", requestId + suffix);
+    }
     if (millis > 0) {
       ctx.future(() -> after(millis).thenRun(() -> json(ctx, answer)));
     } else {
