Choose by strict bounds only where loads are known exactly

Change: without exchanged counts the bound is the setting's c for every request, in the order of the ranking; the test of short requests now gives exact loads, as the rule it states holds only there, and asks for the same engine as before.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/CandidateOrder.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/CandidateOrder.java
@@ -20,6 +20,7 @@
   private final List<RankedEngine> live;
   private final @Nullable RankedEngine hinted;
   private final double outstandingMean;
+  private final boolean fresh;
 
   /**
    * Creates the order.
@@ -37,6 +38,7 @@
     this.live = live;
     this.hinted = findHinted();
     this.outstandingMean = meanOutstanding();
+    this.fresh = live.stream().allMatch(engine -> engine.load().fresh());
   }
 
   /** Returns the engines that may take the request, best first. */
@@ -50,39 +52,39 @@
       boolean fits = engine.load().outstandingRequests() + 1 <= bound(engine);
       (fits ? within : beyond).add(engine);
     }
-    List<RankedEngine> order = new ArrayList<>(isShort() ? byLoad(within) : byCost(within));
+    List<RankedEngine> order =
+        new ArrayList<>(fresh && isShort() ? byLoad(within) : byCost(within));
     beyond.sort(BY_LOAD);
     order.addAll(beyond);
     return order;
   }
 
   /**
-   * Returns the number of outstanding requests that an engine may reach by choice. Only a request
-   * that saves enough prefill may take an engine above the mean.
+   * Returns the number of outstanding requests that an engine may reach by choice. Where the loads
+   * are known exactly, only a request that saves enough prefill may take an engine above the mean.
    */
   private double bound(RankedEngine engine) {
-    boolean keepsPlace =
-        engine.equals(hinted) ? heldTokens() >= options.reuseTokensMin() : !isShort();
-    double share = keepsPlace ? options.boundShare() : 0;
-    double factor = 1 + (policy.loadBound() - 1) * share;
+    boolean isHinted = engine.equals(hinted);
+    boolean keepsPlace = isHinted ? heldTokens() >= options.reuseTokensMin() : !isShort();
+    double factor = keepsPlace || !fresh ? boundFactor() : 1;
     return Math.max(1, factor * (outstandingMean + 1.0 / live.size()));
   }
 
+  /** Returns the load bound, without the room left for what exact loads do not foretell. */
+  private double boundFactor() {
+    double share = fresh ? options.boundShare() : 1;
+    return 1 + (policy.loadBound() - 1) * share;
+  }
+
   /** Returns whether the prompt is so short that computing it anywhere costs little. */
   private boolean isShort() {
     return request.promptTokens() < 2 * options.reuseTokensMin();
   }
 
-  /**
-   * Puts the hinted engine first, then the least loaded: of all engines where their loads are known
-   * exactly, otherwise of the first candidates of the ranking, so that routers with the same old
-   * reports do not all choose the same engine.
-   */
+  /** Puts the hinted engine first, then the least loaded. */
   private List<RankedEngine> byLoad(List<RankedEngine> within) {
     List<RankedEngine> order = new ArrayList<>(within);
-    boolean fresh = order.stream().allMatch(engine -> engine.load().fresh());
-    int considered = fresh ? order.size() : Math.min(order.size(), policy.candidates());
-    order.subList(0, considered).sort(BY_LOAD);
+    order.sort(BY_LOAD);
     RankedEngine source = hinted;
     if (source != null && order.remove(source)) {
       order.add(0, source);
@@ -98,7 +100,7 @@
     if (request.excluded().size() >= REFUSALS_MAX) {
       return Integer.MAX_VALUE;
     }
-    double bound = policy.loadBound() * (outstandingMean + 1.0 / live.size());
+    double bound = boundFactor() * (outstandingMean + 1.0 / live.size());
     return (int) Math.max(Math.floor(bound), Math.floor(outstandingMean) + 1);
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/PlacementOptions.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/PlacementOptions.java
@@ -17,8 +17,8 @@
  * @param importOverhead the fixed time of an import
  * @param reuseTokensMin the fewest cached prompt tokens that are worth importing or exceeding the
  *     mean load for
- * @param boundShare which part of the room between the mean and the load bound is used up by
- *     choice, 0 to 1; the rest is left for what the estimate does not know
+ * @param boundShare which part of the room between the mean and the load bound is used up while the
+ *     loads are known exactly, 0 to 1; the rest is left for requests that finish elsewhere
  */
 public record PlacementOptions(
     Duration joinRamp,
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/placement/TestFleet.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/placement/TestFleet.java
@@ -35,6 +35,7 @@
   final DefaultCircuitBreakers circuits =
       new DefaultCircuitBreakers(CircuitOptions.DEFAULT, clock, 1);
   final EngineSelector selector;
+  PeerLoads peers = PeerLoads.UNKNOWN;
   private FleetState state;
 
   TestFleet(int engineCount) {
@@ -51,6 +52,7 @@
         new DefaultEngineSelector(
             () -> state,
             () -> new FleetView(1, engines, Map.of()),
+            engine -> peers.of(engine),
             circuits,
             clock,
             PlacementOptions.DEFAULT);
