--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/CandidateOrder.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/CandidateOrder.java
@@ -19,6 +19,7 @@
   private final PlacementOptions options;
   private final List<RankedEngine> live;
   private final @Nullable RankedEngine hinted;
+  private final boolean hintedIsLeaving;
   private final double outstandingMean;
   private final boolean fresh;
 
@@ -26,17 +27,20 @@
    * Creates the order.
    *
    * @param live the live engines in the order of the ranking, not empty
+   * @param hintedIsLeaving whether the engine of the hint is leaving, so that it can only export
    */
   CandidateOrder(
       PlacementRequest request,
       PolicySpec policy,
       PlacementOptions options,
-      List<RankedEngine> live) {
+      List<RankedEngine> live,
+      boolean hintedIsLeaving) {
     this.request = request;
     this.policy = policy;
     this.options = options;
     this.live = live;
     this.hinted = findHinted();
+    this.hintedIsLeaving = hintedIsLeaving;
     this.outstandingMean = meanOutstanding();
     this.fresh = live.stream().allMatch(engine -> engine.load().fresh());
   }
@@ -106,12 +110,12 @@
 
   /** Returns what is expected of the cache if an engine takes the request. */
   Plan plan(RankedEngine engine) {
-    RankedEngine source = hinted;
-    if (source == null) {
+    CacheHint hint = request.hint();
+    if (hint == null || (hinted == null && !hintedIsLeaving)) {
       return new Plan(0, null, engine.prefillSeconds(request.promptTokens()));
     }
     int held = heldTokens();
-    if (engine.equals(source)) {
+    if (engine.equals(hinted)) {
       return new Plan(held, null, engine.prefillSeconds(request.promptTokens() - held));
     }
     double prefill = engine.prefillSeconds(request.promptTokens());
@@ -120,7 +124,7 @@
             + options.importOverhead().toMillis() / 1000.0
             + held / options.importTokensPerSecond();
     if (held >= options.reuseTokensMin() && imported < prefill) {
-      return new Plan(held, source.view().id(), imported);
+      return new Plan(held, hint.engine(), imported);
     }
     return new Plan(0, null, prefill);
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultEngineSelector.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultEngineSelector.java
@@ -77,7 +77,8 @@
           ErrorKind.NO_BACKEND, "no live engine serves model " + request.model(), RETRY_NO_BACKEND);
     }
     PolicySpec policy = state.get().policy();
-    CandidateOrder order = new CandidateOrder(request, policy, options, live);
+    CandidateOrder order =
+        new CandidateOrder(request, policy, options, live, sourceIsLeaving(request));
     for (RankedEngine engine : order.best()) {
       if (circuits.tryAcquire(engine.view().id().value())) {
         return reserve(engine, request, order);
@@ -86,6 +87,11 @@
     throw refusal(request, live);
   }
 
+  private boolean sourceIsLeaving(PlacementRequest request) {
+    CacheHint hint = request.hint();
+    return hint != null && ranking.isLeaving(hint);
+  }
+
   /** Returns what this router has dispatched and not finished. */
   public DispatchCounts ownCounts() {
     return ranking.ownCounts();
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/EngineRanking.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/EngineRanking.java
@@ -67,6 +67,14 @@
     return stable;
   }
 
+  /** Returns whether the run of an engine that a hint names is leaving but can still export. */
+  boolean isLeaving(CacheHint hint) {
+    EngineView engine = view.get().engines().get(hint.engine());
+    return engine != null
+        && engine.liveness() == Liveness.LEAVING
+        && engine.incarnation() == hint.engineIncarnation();
+  }
+
   private RankedEngine ranked(
       ModelIndex.Entry entry, EngineView engine, long chatHash, Instant now) {
     EngineSpec spec = entry.spec();
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/placement/DefaultEngineSelectorTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/placement/DefaultEngineSelectorTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
@@ -209,4 +210,24 @@
       assertEquals(choose(fleet, tag), TestFleet.engine(0));
     }
   }
+
+  public void theCacheOfALeavingEngineIsImported() {
+    TestFleet fleet = new TestFleet(4);
+    EngineId leaving = TestFleet.engine(2);
+    fleet.set(leaving, Liveness.LEAVING, fleet.clock.instant());
+    CacheHint hint = new CacheHint(leaving, 1, 3900, fleet.clock.instant());
+    Reservation reservation = fleet.selector.select(TestFleet.request("diary", hint));
+    assertNotEquals(reservation.engine(), leaving);
+    assertEquals(reservation.importFrom(), leaving);
+  }
+
+  public void nothingIsImportedFromADeadEngine() {
+    TestFleet fleet = new TestFleet(4);
+    EngineId dead = TestFleet.engine(2);
+    fleet.set(dead, Liveness.DEAD, fleet.clock.instant());
+    CacheHint hint = new CacheHint(dead, 1, 3900, fleet.clock.instant());
+    Reservation reservation = fleet.selector.select(TestFleet.request("diary", hint));
+    assertNull(reservation.importFrom());
+    assertEquals(reservation.cachedTokensExpected(), 0);
+  }
 }
