--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/DefaultOnceRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/DefaultOnceRegistry.java
@@ -159,10 +159,11 @@
 
   private OnceDecision claim(IdempotencyKey key, KeyShard shard, KeyEntry entry) {
     CompletableFuture<OnceDecision> decision = entry.claim;
-    claims
-        .claim(key, entry.fingerprint, entry.attempt)
-        .thenApply(claim -> decide(shard, entry, claim))
-        .whenComplete((result, failure) -> endClaim(shard, entry, decision, result, failure));
+    var unused =
+        claims
+            .claim(key, entry.fingerprint, entry.attempt)
+            .thenApply(claim -> decide(shard, entry, claim))
+            .whenComplete((result, failure) -> endClaim(shard, entry, decision, result, failure));
     return new OnceDecision.Claim(decision);
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/PlatformClaimStore.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/PlatformClaimStore.java
@@ -22,6 +22,7 @@
 import org.coltsfootvale.core.platform.KeyValue;
 import org.coltsfootvale.core.platform.KeyValueStore;
 import org.coltsfootvale.core.platform.PlatformException;
+import org.coltsfootvale.core.support.Futures;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -71,10 +72,9 @@
   }
 
   private CompletableFuture<Claim> create(String path, Lease lease, Claim wanted, int triesLeft) {
-    return store
-        .createIfAbsent(path, write(wanted), lease.id())
-        .handle((created, failure) -> settle(path, lease, wanted, triesLeft, created, failure))
-        .thenCompose(next -> next);
+    return Futures.compose(
+        store.createIfAbsent(path, write(wanted), lease.id()),
+        (created, failure) -> settle(path, lease, wanted, triesLeft, created, failure));
   }
 
   private CompletableFuture<Claim> settle(
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/orders/PoolLease.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/orders/PoolLease.java
@@ -11,6 +11,7 @@
 import org.coltsfootvale.core.platform.KeyValue;
 import org.coltsfootvale.core.platform.KeyValueStore;
 import org.coltsfootvale.core.platform.PlatformException;
+import org.coltsfootvale.core.support.Futures;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -61,7 +62,7 @@
       calling = true;
       nextCallNanos = now + timings.leaseTimeToLive().toNanos() / 4;
     }
-    call().whenComplete((done, failure) -> endCall());
+    var unused = call().whenComplete((done, failure) -> endCall());
   }
 
   /** Returns the fencing number if orders may be sent now. */
@@ -79,7 +80,7 @@
       id = leaseId;
       forget();
     }
-    revoke(id);
+    var unused = revoke(id);
   }
 
   /** Gives the lease up for good. */
@@ -90,7 +91,7 @@
     lose();
   }
 
-  private CompletableFuture<?> call() {
+  private CompletableFuture<Void> call() {
     long held;
     synchronized (this) {
       held = fencing == 0 ? KeyValueStore.NO_LEASE : leaseId;
@@ -98,7 +99,7 @@
     return held == KeyValueStore.NO_LEASE ? acquire() : renew(held);
   }
 
-  private CompletableFuture<?> renew(long id) {
+  private CompletableFuture<Void> renew(long id) {
     long askedNanos = monotonicNanos.getAsLong();
     return store
         .keepLeaseAlive(id)
@@ -114,7 +115,7 @@
             });
   }
 
-  private CompletableFuture<?> acquire() {
+  private CompletableFuture<Void> acquire() {
     return store
         .get(key)
         .thenCompose(
@@ -122,19 +123,18 @@
                 found.isPresent() ? CompletableFuture.completedFuture(null) : grantAndCreate());
   }
 
-  private CompletableFuture<?> grantAndCreate() {
+  private CompletableFuture<Void> grantAndCreate() {
     long askedNanos = monotonicNanos.getAsLong();
     return store.grantLease(timings.leaseTimeToLive()).thenCompose(id -> create(id, askedNanos));
   }
 
-  private CompletableFuture<?> create(long id, long askedNanos) {
-    return store
-        .createIfAbsent(key, value(id), id)
-        .handle((created, failure) -> settle(id, askedNanos, created, failure))
-        .thenCompose(next -> next);
+  private CompletableFuture<Void> create(long id, long askedNanos) {
+    return Futures.compose(
+        store.createIfAbsent(key, value(id), id),
+        (created, failure) -> settle(id, askedNanos, created, failure));
   }
 
-  private CompletableFuture<?> settle(
+  private CompletableFuture<Void> settle(
       long id, long askedNanos, @Nullable OptionalLong created, @Nullable Throwable failure) {
     if (created != null && created.isPresent()) {
       hold(id, askedNanos, created.getAsLong());
@@ -150,7 +150,8 @@
     return store.get(key).thenCompose(found -> settleByReading(id, askedNanos, found));
   }
 
-  private CompletableFuture<?> settleByReading(long id, long askedNanos, Optional<KeyValue> found) {
+  private CompletableFuture<Void> settleByReading(
+      long id, long askedNanos, Optional<KeyValue> found) {
     if (found.isPresent() && Arrays.equals(found.get().value(), value(id))) {
       hold(id, askedNanos, found.get().createRevision());
       return CompletableFuture.completedFuture(null);
@@ -170,11 +171,11 @@
       }
     }
     if (late) {
-      revoke(id);
+      var unused = revoke(id);
     }
   }
 
-  private CompletableFuture<?> revoke(long id) {
+  private CompletableFuture<Void> revoke(long id) {
     return id == KeyValueStore.NO_LEASE
         ? CompletableFuture.completedFuture(null)
         : store.revokeLease(id);
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/orders/PoolOrders.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/orders/PoolOrders.java
@@ -74,7 +74,7 @@
       writing = true;
       wanted = OrderIntent.of(fencing, releaseRevision, target);
     }
-    intents.write(wanted).whenComplete((ours, failure) -> onIntent(wanted, ours));
+    var unused = intents.write(wanted).whenComplete((ours, failure) -> onIntent(wanted, ours));
     return false;
   }
 
@@ -97,10 +97,11 @@
       progress.busy = true;
       progress.dueNanos = now + timings.repairInterval().toNanos();
     }
-    transport
-        .read(engine.id())
-        .thenCompose(state -> order(engine, fencing, target, state))
-        .whenComplete((done, failure) -> release(progress));
+    var unused =
+        transport
+            .read(engine.id())
+            .thenCompose(state -> order(engine, fencing, target, state))
+            .whenComplete((done, failure) -> release(progress));
   }
 
   private CompletableFuture<?> order(
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/DefaultReleaseLog.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/DefaultReleaseLog.java
@@ -15,6 +15,7 @@
 import org.coltsfootvale.core.error.Outcome;
 import org.coltsfootvale.core.platform.KeyValueStore;
 import org.coltsfootvale.core.platform.PlatformException;
+import org.coltsfootvale.core.support.Futures;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -179,7 +180,7 @@
         return run();
       }
       applied.apply(candidate);
-      compaction.afterCommit(next);
+      var unused = compaction.afterCommit(next);
       return CompletableFuture.completedFuture(candidate);
     }
 
@@ -197,7 +198,7 @@
     }
 
     private CompletableFuture<AcceptedNote> guard(CompletableFuture<AcceptedNote> step) {
-      return step.handle(this::recover).thenCompose(next -> next);
+      return Futures.compose(step, this::recover);
     }
 
     private CompletableFuture<AcceptedNote> recover(
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/ReleaseMappers.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/ReleaseMappers.java
@@ -78,6 +78,7 @@
   private abstract static class Identifier {
 
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    @SuppressWarnings("UnusedVariable")
     Identifier(String value) {}
 
     @JsonValue
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replay/ScriptedKeyValueStore.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replay/ScriptedKeyValueStore.java
@@ -51,8 +51,9 @@
 
   /** Performs the held calls in their order. */
   public void releaseHeld() {
-    while (releaseNext()) {
-      continue;
+    boolean more = true;
+    while (more) {
+      more = releaseNext();
     }
   }
 
