--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -38,7 +38,8 @@
   }
 
   private static int usage() {
-    System.err.println("commands: cost | limits | memory | policy | slopes [--gossip KIND] [--routers N] [--seed S]");
+    System.err.println(
+        "commands: cost | limits | memory | policy | slopes [--gossip KIND] [--routers N] [--seed S]");
     return EXIT_USAGE;
   }
 }
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/memory/FleetOfSize.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/memory/FleetOfSize.java
@@ -27,8 +27,7 @@
   private static final ReleaseNote.Ids NONE =
       new ReleaseNote.Ids(List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
   private static final ReleaseNote.Items NOTHING =
-      new ReleaseNote.Items(
-          List.of(), List.of(), List.of(), List.of(), List.of(), List.of(), null);
+      new ReleaseNote.Items(List.of(), List.of(), List.of(), List.of(), List.of(), List.of(), null);
   private static final int DATA_CENTRES = 8;
 
   /** Returns the note that adds the whole fleet. */
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/memory/MemoryCommand.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/memory/MemoryCommand.java
@@ -76,10 +76,7 @@
     print(
         "keys held %d, answers of %d bytes: %.0f heap bytes a key, %.1f us to parse, begin and"
             + " finish",
-        registry.size(),
-        answerBytes,
-        (double) heap / registry.size(),
-        nanos / 1e3 / KEYS);
+        registry.size(), answerBytes, (double) heap / registry.size(), nanos / 1e3 / KEYS);
   }
 
   private void log(String name, FleetOfSize fleet) {
