Spread keys evenly over the shards; forget expired keys behind a long run

Cause: String.hashCode sent the counters of one prefix to some shards only, so that the memory was full long before its bound; an expired key whose run had not ended kept all later ones of its shard; a peer that knows no revision yet could make a starting router ready with an empty state. Ruled out: a larger bound.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/DefaultOnceRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/DefaultOnceRegistry.java
@@ -1,5 +1,6 @@
 package org.coltsfootvale.core.once;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -81,6 +82,12 @@
   @Override
   public void tick() {
     pauses.tick();
+    Instant now = clock.instant();
+    for (KeyShard shard : shards) {
+      synchronized (shard) {
+        shard.advance(now);
+      }
+    }
   }
 
   @Override
@@ -256,7 +263,13 @@
   }
 
   private KeyShard shard(KeyEntry.Id id) {
-    return shards.get(Math.floorMod(id.hashCode(), SHARDS));
+    long hash =
+        Hashing.komihash5_0()
+            .hashStream()
+            .putString(id.organisation().value())
+            .putString(id.text())
+            .getAsLong();
+    return shards.get((int) Math.floorMod(hash, (long) SHARDS));
   }
 
   private static void checkFingerprint(long known, long given) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/KeyShard.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/KeyShard.java
@@ -1,5 +1,6 @@
 package org.coltsfootvale.core.once;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -10,6 +11,8 @@
 /** One shard of the key memory; callers hold its monitor. */
 final class KeyShard {
 
+  private static final Duration RUNNING_EXTENSION = Duration.ofMinutes(1);
+
   private final int keysMax;
   private final long storedBytesMax;
   private final Map<KeyEntry.Id, KeyEntry> entries = new HashMap<>();
@@ -74,8 +77,12 @@
 
   private void forgetExpired() {
     KeyEntry oldest = byExpiry.peek();
-    while (oldest != null && !oldest.expiresAt.isAfter(latest) && oldest.forgettable()) {
-      remove(oldest);
+    while (oldest != null && !oldest.expiresAt.isAfter(latest)) {
+      if (oldest.forgettable()) {
+        remove(oldest);
+      } else {
+        extend(oldest, latest.plus(RUNNING_EXTENSION));
+      }
       oldest = byExpiry.peek();
     }
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/AppliedNotes.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/AppliedNotes.java
@@ -95,8 +95,11 @@
     }
   }
 
-  /** Records the newest revision that a peer has applied. */
+  /** Records the newest revision that a peer has applied; 0 says that it knows none either. */
   void onPeerRevision(long revision) {
+    if (revision <= 0) {
+      return;
+    }
     synchronized (lock) {
       heardAny = true;
       highestHeard = Math.max(highestHeard, revision);
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
@@ -113,6 +113,34 @@
     assertRefused(home, key, ErrorKind.KEY_EXPIRED, Outcome.UNKNOWN);
   }
 
+  @Test
+  public void aLongRunKeepsItsKeyButNoOtherInMemory() {
+    DefaultOnceRegistry home = registry(ROUTER_A);
+    String prefix = prefixes.mint(ROUTER_A);
+    int keys = 500;
+    OnceDecision.Execution longRun = run(home.begin(prefixes.parse(RESERVE, prefix + ".0"), 7));
+    for (int i = 1; i < keys; i++) {
+      run(home.begin(prefixes.parse(RESERVE, prefix + "." + i), 7)).finished(ANSWER);
+    }
+    pause(LIFETIME);
+    home.tick();
+    assertEquals(home.size(), 1);
+    longRun.finished(ANSWER);
+    OnceDecision repeat = home.begin(prefixes.parse(RESERVE, prefix + ".0"), 7);
+    assertTrue(repeat instanceof OnceDecision.Attach);
+  }
+
+  @Test
+  public void countersOfOnePrefixFillTheMemoryEvenly() {
+    DefaultOnceRegistry home = registry(ROUTER_A);
+    String prefix = prefixes.mint(ROUTER_A);
+    int keys = OnceLimits.DEFAULT.keysMax() * 8 / 10;
+    for (int i = 0; i < keys; i++) {
+      run(home.begin(prefixes.parse(RESERVE, prefix + "." + i), 7));
+    }
+    assertEquals(home.size(), keys);
+  }
+
   @Test
   public void aReusedKeyIsRefused() {
     DefaultOnceRegistry home = registry(ROUTER_A);
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/release/DefaultReleaseLogTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/release/DefaultReleaseLogTest.java
@@ -100,6 +100,13 @@
     assertTrue(fresh.ready());
   }
 
+  @Test
+  public void aPeerThatKnowsNoRevisionEitherMakesNoRouterReady() {
+    DefaultReleaseLog fresh = log();
+    fresh.onPeerRevision(0);
+    assertFalse(fresh.ready());
+  }
+
   @Test
   public void notesOutOfOrderAndOldOnesAreIgnored() {
     DefaultReleaseLog source = log();
