--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/once/DefaultOnceRegistryTest.java
@@ -21,6 +21,7 @@
 import org.coltsfootvale.core.model.RouterId;
 import org.coltsfootvale.core.model.RouterIncarnation;
 import org.coltsfootvale.core.replay.ScriptedKeyValueStore;
+import org.coltsfootvale.core.replay.ScriptedKeyValueStore.Call;
 import org.coltsfootvale.core.replay.ScriptedKeyValueStore.Fault;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -138,7 +139,7 @@
   public void aLostReplyToAClaimIsSettledByReadingBack() {
     DefaultOnceRegistry router = registry(ROUTER_A);
     claimed(router.begin(prefixes.parse(RESERVE, "warm-up"), 1));
-    store.loseReplies(1);
+    store.loseReplies(Call.CREATE, 1);
     run(claimed(router.begin(plainKey(), 7))).beforeSend();
   }
 
@@ -147,7 +148,7 @@
     DefaultOnceRegistry router = registry(ROUTER_A);
     claimed(router.begin(prefixes.parse(RESERVE, "warm-up"), 1));
     store.setFault(Fault.HOLD_REPLIES);
-    store.loseReplies(1);
+    store.loseReplies(Call.CREATE, 1);
     OnceDecision.Claim uncertain = (OnceDecision.Claim) router.begin(plainKey(), 7);
     store.setFault(Fault.OUTAGE);
     store.releaseHeld();
@@ -166,6 +167,33 @@
         expectThrows(ColtsfootvaleException.class, paused::beforeSend).outcome(), Outcome.NOT_RUN);
   }
 
+  @Test
+  public void aRouterThatWasPausedLongerThanAClaimDoesNotClaimARequestThatWaited() {
+    assertEquals(runsAfterALongPause(true), 1);
+  }
+
+  @Test
+  public void withoutNoticingItsPauseTheRouterWouldRunTheKeyAgain() {
+    assertEquals(runsAfterALongPause(false), 2);
+  }
+
+  private int runsAfterALongPause(boolean noticesPause) {
+    DefaultOnceRegistry other = registry(ROUTER_B);
+    DefaultOnceRegistry paused = registry(ROUTER_A);
+    if (noticesPause) {
+      paused.tick();
+    }
+    run(claimed(other.begin(plainKey(), 7))).finished(ANSWER);
+    pause(Duration.ofHours(1));
+    try {
+      run(claimed(paused.begin(plainKey(), 7))).beforeSend();
+      return 2;
+    } catch (ColtsfootvaleException e) {
+      assertEquals(e.outcome(), Outcome.UNKNOWN);
+      return 1;
+    }
+  }
+
   @Test
   public void anOutageRefusesAKeyWithoutHomeAndNoOther() {
     DefaultOnceRegistry router = registry(ROUTER_A);
@@ -176,6 +204,19 @@
     run(router.begin(homedKey(ROUTER_A, 1), 7)).beforeSend();
   }
 
+  @Test
+  public void aClaimCostsOneWriteAndALeaseServesManyClaims() {
+    DefaultOnceRegistry router = registry(ROUTER_A);
+    int claims = 600;
+    for (int second = 0; second < claims; second++) {
+      claimed(router.begin(prefixes.parse(RESERVE, "crane-" + second), 7));
+      pause(Duration.ofSeconds(1));
+    }
+    assertEquals(store.calls(Call.CREATE), claims);
+    assertEquals(store.calls(Call.GET), 0);
+    assertEquals(store.calls(Call.GRANT_LEASE), 6);
+  }
+
   @Test
   public void anAnswerTooLargeToKeepLeavesItsOutcome() {
     DefaultOnceRegistry home = registry(ROUTER_A);
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -1,6 +1,9 @@
 package org.coltsfootvale.verify;
 
 import java.util.Arrays;
+import org.coltsfootvale.verify.cost.CostCommand;
+import org.coltsfootvale.verify.policy.LimitsCommand;
+import org.coltsfootvale.verify.policy.PolicyCommand;
 import org.coltsfootvale.verify.slopes.SlopesCommand;
 
 /** Starts a measurement, a trace replay or a specification check by its name. */
@@ -12,14 +15,28 @@
 
   /** Runs the command named by the first argument. */
   public static void main(String[] args) {
+    System.exit(run(args));
+  }
+
+  private static int run(String[] args) {
     String command = args.length == 0 ? "" : args[0];
     String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
-    switch (command) {
-      case "slopes" -> SlopesCommand.run(rest);
-      default -> {
-        System.err.println("commands: slopes [--gossip KIND] [--routers N] [--seed S]");
-        System.exit(EXIT_USAGE);
-      }
-    }
+    return switch (command) {
+      case "cost" -> new CostCommand(System.out).run(rest);
+      case "policy" -> new PolicyCommand(System.out).run(rest);
+      case "limits" -> new LimitsCommand(System.out).run(rest);
+      case "slopes" -> slopes(rest);
+      default -> usage();
+    };
+  }
+
+  private static int slopes(String[] args) {
+    SlopesCommand.run(args);
+    return 0;
+  }
+
+  private static int usage() {
+    System.err.println("commands: cost | limits | policy | slopes");
+    return EXIT_USAGE;
   }
 }
