Compute the observers of engines from hashes of each name alone

Ruled out: caching the pairs, 288,000 numbers a router. Change: one hash a name and a mix of two numbers for each pair; only routers of the engine's data centre are weighed while there are enough; entries from peers no longer trigger it. The test reads the observed engines first, as the daemon's probe loop does.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/DefaultMembership.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/DefaultMembership.java
@@ -244,7 +244,6 @@
       if (entry instanceof RouterLoadEntry load) {
         return routers.merge(from, load);
       }
-      refreshObserved();
       if (entry instanceof EngineLoadEntry load) {
         return engines.merge(from, load);
       }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/ObserverAssignment.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/membership/ObserverAssignment.java
@@ -5,7 +5,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.coltsfootvale.core.model.DataCentreId;
 import org.coltsfootvale.core.model.EngineId;
 import org.coltsfootvale.core.model.RouterId;
@@ -31,9 +35,22 @@
       Collection<RouterView> routers,
       Collection<EngineRecord> engines,
       int observersPerEngine) {
+    Map<DataCentreId, List<Candidate>> near = new HashMap<>();
+    List<Candidate> all = new ArrayList<>(routers.size());
+    for (RouterView router : routers) {
+      RouterId id = router.router().id();
+      Candidate candidate = new Candidate(id, HASHER.hashCharsToLong(id.value()));
+      all.add(candidate);
+      near.computeIfAbsent(router.dataCentre(), key -> new ArrayList<>()).add(candidate);
+    }
     List<EngineId> observed = new ArrayList<>();
     for (EngineRecord engine : engines) {
-      if (observers(engine.id, engine.dataCentre, routers, observersPerEngine).contains(self)) {
+      List<Candidate> local = near.getOrDefault(engine.dataCentre, List.of());
+      List<RouterId> chosen = choose(engine.id, local, observersPerEngine);
+      if (chosen.size() < observersPerEngine) {
+        chosen.addAll(choose(engine.id, all, observersPerEngine));
+      }
+      if (firstDistinct(chosen, observersPerEngine).contains(self)) {
         observed.add(engine.id);
       }
     }
@@ -41,42 +58,45 @@
     return observed;
   }
 
-  /** Returns the observers of an engine: routers of its data centre first, then in hash order. */
-  static List<RouterId> observers(
-      EngineId engine, DataCentreId dataCentre, Collection<RouterView> routers, int count) {
-    List<Candidate> best = new ArrayList<>(count + 1);
-    for (RouterView router : routers) {
-      RouterId id = router.router().id();
-      long hash = HASHER.hashCharsToLong(engine.value() + '|' + id.value());
-      insert(best, new Candidate(id, router.dataCentre().equals(dataCentre), hash), count);
+  private static Set<RouterId> firstDistinct(List<RouterId> routers, int count) {
+    return routers.stream().distinct().limit(count).collect(Collectors.toUnmodifiableSet());
+  }
+
+  /** Returns the candidates with the highest scores for an engine, the highest first. */
+  private static List<RouterId> choose(EngineId engine, List<Candidate> candidates, int count) {
+    long engineHash = HASHER.hashCharsToLong(engine.value());
+    List<Score> best = new ArrayList<>(count + 1);
+    for (Candidate candidate : candidates) {
+      long hash = HASHER.hashLongLongToLong(engineHash, candidate.hash());
+      insert(best, new Score(candidate.router(), hash), count);
     }
-    return best.stream().map(Candidate::router).toList();
+    List<RouterId> chosen = new ArrayList<>(best.size());
+    best.forEach(score -> chosen.add(score.router()));
+    return chosen;
   }
 
-  private static void insert(List<Candidate> best, Candidate candidate, int count) {
+  private static void insert(List<Score> best, Score score, int count) {
     int position = best.size();
-    while (position > 0 && candidate.compareTo(best.get(position - 1)) < 0) {
+    while (position > 0 && score.compareTo(best.get(position - 1)) < 0) {
       position--;
     }
     if (position < count) {
-      best.add(position, candidate);
+      best.add(position, score);
     }
     if (best.size() > count) {
       best.remove(count);
     }
   }
 
-  private record Candidate(RouterId router, boolean near, long hash)
-      implements Comparable<Candidate> {
+  private record Candidate(RouterId router, long hash) {}
+
+  private record Score(RouterId router, long hash) implements Comparable<Score> {
 
-    private static final Comparator<Candidate> ORDER =
-        Comparator.comparing(Candidate::near)
-            .reversed()
-            .thenComparing(Candidate::hash, Comparator.reverseOrder())
-            .thenComparing(Candidate::router);
+    private static final Comparator<Score> ORDER =
+        Comparator.comparing(Score::hash, Comparator.reverseOrder()).thenComparing(Score::router);
 
     @Override
-    public int compareTo(Candidate other) {
+    public int compareTo(Score other) {
       return ORDER.compare(this, other);
     }
   }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/membership/EngineMembershipTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/membership/EngineMembershipTest.java
@@ -33,6 +33,7 @@
   public void createMembership() {
     fixture = new MembershipFixture();
     membership = fixture.membership("self");
+    assertEquals(membership.observedEngines(), List.of(ENGINE));
     report(5, false);
   }
 
