--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/DefaultGossip.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/DefaultGossip.java
@@ -26,6 +26,10 @@
 public final class DefaultGossip implements Gossip {
 
   private static final int DIGEST_MISMATCHES_MAX = 4;
+
+  /** The links between which half of the budget, that for sending, is divided. */
+  private static final int LINKS_SHARING_BUDGET = 5;
+
   private static final int INBOUND_LINKS_MAX = 64;
   private static final Duration PAUSE_MIN = Duration.ofSeconds(1);
   private static final Duration INBOUND_LINK_RETENTION = Duration.ofSeconds(10);
@@ -88,7 +92,7 @@
       List<AddressedMessage> due = new ArrayList<>();
       for (Map.Entry<RouterId, GossipLink> link : links.entrySet()) {
         if (link.getValue().chosen && isDue(link.getValue(), now)) {
-          due.add(compose(link.getKey(), link.getValue(), false, now));
+          compose(link.getKey(), link.getValue(), false, now).ifPresent(due::add);
         }
       }
       probeDeadRouter(now).ifPresent(due::add);
@@ -131,7 +135,7 @@
       List<AddressedMessage> out = new ArrayList<>();
       boolean thoughtDead = isThoughtDead(from);
       if (!message.reply() && (!link.chosen || thoughtDead)) {
-        out.add(compose(from, link, true, now));
+        compose(from, link, true, now).ifPresent(out::add);
       }
       addUrgent(out, now);
       return out;
@@ -156,7 +160,7 @@
     links.entrySet().removeIf(link -> link.getValue().incarnation != incarnation(link.getKey()));
     for (RouterId peer : peers) {
       long incarnation = incarnation(peer);
-      links.computeIfAbsent(peer, key -> new GossipLink(true, incarnation, now)).chosen = true;
+      links.computeIfAbsent(peer, key -> newLink(true, incarnation, now)).chosen = true;
     }
     for (Map.Entry<RouterId, GossipLink> link : links.entrySet()) {
       if (!peers.contains(link.getKey())) {
@@ -193,7 +197,14 @@
       links.values().removeIf(link -> !link.chosen);
     }
     long incarnation = incarnation(from);
-    return links.computeIfAbsent(from, key -> new GossipLink(false, incarnation, now));
+    return links.computeIfAbsent(from, key -> newLink(false, incarnation, now));
+  }
+
+  private GossipLink newLink(boolean chosen, long incarnation, Instant now) {
+    int bytesPerSecond = options.bytesPerSecond() / (2 * LINKS_SHARING_BUDGET);
+    int burstBytes = options.burstBytes() / (2 * LINKS_SHARING_BUDGET);
+    TokenBucket loadBudget = new TokenBucket(bytesPerSecond, burstBytes, now);
+    return new GossipLink(chosen, incarnation, loadBudget, now);
   }
 
   private long incarnation(RouterId router) {
@@ -220,13 +231,13 @@
 
   private boolean isUrgent(GossipLink link) {
     return store.appliedRevision() > link.revisionSent
-        || store.countAfter(EntryClass.LEAVING, link.position(EntryClass.LEAVING)) > 0;
+        || store.hasAfter(EntryClass.LEAVING, link.position(EntryClass.LEAVING));
   }
 
   private boolean hasPending(GossipLink link, Instant now) {
     for (EntryClass entryClass : EntryClass.values()) {
       if (traffic.allows(entryClass, now)
-          && store.countAfter(entryClass, link.position(entryClass)) > 0) {
+          && store.hasAfter(entryClass, link.position(entryClass))) {
         return true;
       }
     }
@@ -238,12 +249,14 @@
     out.forEach(message -> addressed.add(message.to()));
     for (Map.Entry<RouterId, GossipLink> link : links.entrySet()) {
       if (link.getValue().chosen && isUrgent(link.getValue()) && addressed.add(link.getKey())) {
-        out.add(compose(link.getKey(), link.getValue(), false, now));
+        compose(link.getKey(), link.getValue(), false, now).ifPresent(out::add);
       }
     }
   }
 
-  private AddressedMessage compose(RouterId to, GossipLink link, boolean reply, Instant now) {
+  /** Returns the message that is due on a link, or empty if the peer holds all it would carry. */
+  private Optional<AddressedMessage> compose(
+      RouterId to, GossipLink link, boolean reply, Instant now) {
     EntryCollector collector = new EntryCollector(store, options, sizes, traffic);
     if (!link.introduced) {
       collector.add(store.ownEntry());
@@ -253,11 +266,18 @@
       store.routerEntry(to).ifPresent(collector::add);
     }
     collector.collect(to, link, now);
+    boolean needed =
+        reply
+            || store.appliedRevision() > link.revisionSent
+            || !now.isBefore(link.sentAt.plus(options.keepAlive()));
+    if (collector.entries().isEmpty() && !needed) {
+      return Optional.empty();
+    }
     GossipMessage message = message(reply, collector.entries());
     traffic.sent(sizes.ofMessage(message), now);
     link.sentAt = now;
     link.revisionSent = message.releaseRevision();
-    return new AddressedMessage(to, message);
+    return Optional.of(new AddressedMessage(to, message));
   }
 
   private GossipMessage message(boolean reply, List<GossipEntry> entries) {
@@ -267,7 +287,7 @@
   private void compareDigests(GossipLink link, GossipMessage message, Instant now) {
     boolean comparable =
         message.releaseRevision() == store.appliedRevision()
-            && store.countAfter(EntryClass.LIVENESS, link.position(EntryClass.LIVENESS)) == 0;
+            && !store.hasAfter(EntryClass.LIVENESS, link.position(EntryClass.LIVENESS));
     if (!comparable || message.digest() == store.digest()) {
       link.digestMismatches = 0;
       return;
