Tell engines how many outstanding requests they may reach

Cause: in the demo without faults the outstanding requests of the busiest engine were 1.5 times the mean in the median sample, above the load bound of 1.25, and no engine refused anything: the placement states outstandingRequestsMax, but the router did not send X-Outstanding-Max and the engine stand-in did not know it.

Ruled out: the sampling (all engines' reports lag alike).

Change: the router sends the header, the stand-in refuses as not run.

Not shown: the effect on skew.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/EngineClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/EngineClient.java
@@ -43,6 +43,8 @@
    * @param deadline the time by which the whole answer is wanted
    * @param chunksReceived how many chunks have arrived already
    * @param resume whether the attempt continues one that the engine has taken on before
+   * @param outstandingRequestsMax how many requests, this one included, the engine may have
+   *     outstanding to take it on; {@code Integer.MAX_VALUE} to leave that to the engine
    * @param importFrom an engine to import the chat's cache from, or null
    * @param idempotencyKey the caller's key, or null
    * @param freshConnection whether to open a connection instead of reusing one
@@ -57,6 +59,7 @@
       Instant deadline,
       int chunksReceived,
       boolean resume,
+      int outstandingRequestsMax,
       @Nullable URI importFrom,
       @Nullable String idempotencyKey,
       boolean freshConnection) {}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
@@ -159,6 +159,9 @@
             .header("Accept", "text/event-stream")
             .header("Accept-Encoding", "identity")
             .post(RequestBody.create(request.body(), JSON));
+    if (request.outstandingRequestsMax() < Integer.MAX_VALUE) {
+      builder.header("X-Outstanding-Max", Integer.toString(request.outstandingRequestsMax()));
+    }
     if (request.resume()) {
       builder.header("X-Resume-Offset", Integer.toString(request.chunksReceived()));
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
@@ -263,6 +263,7 @@
         request.deadline(),
         chunksReceived,
         resume,
+        reservation.outstandingRequestsMax(),
         importFrom(reservation),
         request.headers().get(CallerHeaders.IDEMPOTENCY_KEY),
         resume || !repeatable);
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ChatServingTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ChatServingTest.java
@@ -109,6 +109,12 @@
     assertEquals(fixture.second.seen.size(), 0);
   }
 
+  @Test
+  public void anEngineIsToldHowManyRequestsItMayHaveOutstanding() throws Exception {
+    fixture.send(fixture.chat(false));
+    assertEquals(fixture.first.seen.remove().outstandingMax(), "9");
+  }
+
   @DataProvider
   public Object[][] faultsThatGoElsewhere() {
     return new Object[][] {
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/engine/Batcher.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/engine/Batcher.java
@@ -33,10 +33,13 @@
     this.cache = new PrefixCache(options.cacheTokens(), cacheListener);
   }
 
-  /** Accepts a request unless the engine is full, and returns whether it did. */
-  boolean submit(Completion completion) {
+  /**
+   * Accepts a request unless the engine is full or would have more outstanding than its sender
+   * allows, and returns whether it did.
+   */
+  boolean submit(Completion completion, int outstandingMax) {
     synchronized (lock) {
-      if (outstanding.size() >= options.capacityRequests()) {
+      if (outstanding.size() >= Math.min(options.capacityRequests(), outstandingMax)) {
         totals.refused++;
         return false;
       }
--- a/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/engine/EngineStandIn.java
+++ b/coltsfootvale-testkit/src/main/java/org/coltsfootvale/testkit/engine/EngineStandIn.java
@@ -129,7 +129,7 @@
     boolean crossed = faults().take(Fault.CROSSED);
     Completion completion =
         new Completion(requestId, prompt, priority(ctx), answer(prompt, crossed));
-    if (!batcher.submit(completion)) {
+    if (!batcher.submit(completion, outstandingMax(ctx))) {
       refuse(ctx, "full");
       return;
     }
@@ -176,6 +176,11 @@
     return AnswerText.tokens(crossed ? ~prompt.hash() : prompt.hash(), prompt.maxTokens());
   }
 
+  private static int outstandingMax(Context ctx) {
+    String max = ctx.header("X-Outstanding-Max");
+    return max == null ? Integer.MAX_VALUE : Integer.parseInt(max);
+  }
+
   private static int priority(Context ctx) {
     String priority = ctx.header("X-Priority");
     return priority == null ? 0 : Integer.parseInt(priority);
--- a/coltsfootvale-testkit/src/test/java/org/coltsfootvale/testkit/engine/BatcherTest.java
+++ b/coltsfootvale-testkit/src/test/java/org/coltsfootvale/testkit/engine/BatcherTest.java
@@ -85,13 +85,13 @@
   }
 
   private void run(Batcher batcher, String requestId, String chat, int characters) {
-    batcher.submit(completion(requestId, chat, 0, characters));
+    batcher.submit(completion(requestId, chat, 0, characters), Integer.MAX_VALUE);
     batcher.advance(Duration.ofSeconds(10));
   }
 
   private boolean submit(Batcher batcher, String requestId, int priority, int characters) {
     Completion completion = completion(requestId, requestId, priority, characters);
-    boolean accepted = batcher.submit(completion);
+    boolean accepted = batcher.submit(completion, Integer.MAX_VALUE);
     batcher.attach(completion, 0, new EndListener(requestId));
     return accepted;
   }
--- a/coltsfootvale-testkit/src/test/java/org/coltsfootvale/testkit/engine/EngineStandInTest.java
+++ b/coltsfootvale-testkit/src/test/java/org/coltsfootvale/testkit/engine/EngineStandInTest.java
@@ -113,6 +113,15 @@
     assertEquals(engine.requestRuns("r1") + engine.requestRuns("r2"), 0);
   }
 
+  @Test
+  public void anEngineRefusesWhatExceedsTheOutstandingMaximum() throws IOException {
+    TestHttp.Reply refused = complete("r1", "hello", true, Map.of("X-Outstanding-Max", "0"));
+    assertEquals(refused.status(), 503);
+    assertEquals(refused.json().path("reason").asText(), "full");
+    assertEquals(engine.requestRuns("r1"), 0);
+    assertEquals(complete("r2", "hello", true, Map.of("X-Outstanding-Max", "1")).status(), 200);
+  }
+
   @Test
   public void aCrossedAnswerCarriesAnotherIdAndText() throws IOException {
     engine.faults().arm(Fault.CROSSED, 1);
