--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/CallerHttpServer.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/CallerHttpServer.java
@@ -21,6 +21,10 @@
   private static final int ACCEPTORS = 1;
   private static final int SELECTORS = 4;
   private static final int ACCEPT_QUEUE_SIZE = 4_096;
+
+  /** Each connection would keep a lookup table of 96 bytes for each unit of this size. */
+  private static final int HEADER_CACHE_SIZE = 0;
+
   private static final int OUTPUT_BUFFER_BYTES = 4_096;
 
   private CallerHttpServer() {}
@@ -49,6 +53,7 @@
       Server server, HttpConfiguration http, HostPort address) {
     http.setOutputBufferSize(OUTPUT_BUFFER_BYTES);
     http.setOutputAggregationSize(OUTPUT_BUFFER_BYTES);
+    http.setHeaderCacheSize(HEADER_CACHE_SIZE);
     http.setSendServerVersion(false);
     ServerConnector connector =
         new ServerConnector(server, ACCEPTORS, SELECTORS, new HttpConnectionFactory(http));
