--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/ControlLoops.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/ControlLoops.java
@@ -20,8 +20,7 @@
         loops.stream()
             .map(
                 loop ->
-                    new PeriodicTask(
-                        executor, meters, loop.name(), loop.interval(), loop.action()))
+                    new PeriodicTask(executor, meters, loop.name(), loop.interval(), loop.action()))
             .toList();
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ControlModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ControlModule.java
@@ -20,7 +20,6 @@
 import org.coltsfootvale.core.membership.Membership;
 import org.coltsfootvale.core.model.FleetView;
 import org.coltsfootvale.core.model.RouterIncarnation;
-import org.coltsfootvale.core.once.OnceRegistry;
 import org.coltsfootvale.core.orders.DefaultOrderSender;
 import org.coltsfootvale.core.orders.OrderSender;
 import org.coltsfootvale.core.orders.OrderTimings;
@@ -33,14 +32,12 @@
 import org.coltsfootvale.protocol.NettyPeerTransport;
 import org.coltsfootvale.protocol.PeerTransport;
 import org.coltsfootvale.protocol.PeerTransportOptions;
-import org.coltsfootvale.router.control.ControlLoops;
 import org.coltsfootvale.router.control.ControlPeerHandler;
 import org.coltsfootvale.router.control.DeferredPeerHandler;
 import org.coltsfootvale.router.control.EngineProbe;
 import org.coltsfootvale.router.control.GossipLoop;
 import org.coltsfootvale.router.control.HostListPoller;
 import org.coltsfootvale.router.control.HttpOrderTransport;
-import org.coltsfootvale.router.control.OwnLoad;
 import org.coltsfootvale.router.control.PeerDirectory;
 import org.coltsfootvale.router.control.PlatformReaderRole;
 import org.coltsfootvale.router.control.ReleaseFollower;
@@ -49,7 +46,6 @@
 import org.coltsfootvale.router.forward.ForwardService;
 import org.coltsfootvale.router.platform.HostListClient;
 import org.coltsfootvale.router.platform.WeightStoreClient;
-import org.coltsfootvale.router.request.Drain;
 
 /** Provides the inner protocol and the loops of the control traffic. */
 @Module
