--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultDispatchExchange.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultDispatchExchange.java
@@ -25,6 +25,8 @@
   private final Map<RouterId, Heard> heard = new HashMap<>();
   private Map<EngineId, DispatchCounts.Count> sent = Map.of();
   private Instant completeAt = Instant.EPOCH;
+  private FleetView peersOf = FleetView.empty();
+  private List<RouterIncarnation> peers = List.of();
 
   /** Creates the exchange of one router. */
   public DefaultDispatchExchange(
@@ -99,6 +101,9 @@
 
   @Override
   public synchronized Optional<DispatchCounts.Count> of(EngineId engine) {
+    if (peers().size() >= options.routersMax()) {
+      return Optional.empty();
+    }
     Instant now = clock.instant();
     int requests = 0;
     long tokens = 0;
@@ -116,15 +121,22 @@
     return Optional.of(new DispatchCounts.Count(engine, requests, tokens));
   }
 
+  /** Returns the other routers that may have requests outstanding, read anew with each view. */
   private List<RouterIncarnation> peers() {
-    List<RouterIncarnation> peers = new ArrayList<>();
-    for (RouterView router : view.get().routers().values()) {
+    FleetView current = view.get();
+    if (current.equals(peersOf)) {
+      return peers;
+    }
+    List<RouterIncarnation> found = new ArrayList<>();
+    for (RouterView router : current.routers().values()) {
       boolean serves = router.liveness() == Liveness.LIVE || router.liveness() == Liveness.LEAVING;
       if (serves && !router.router().id().equals(self.id())) {
-        peers.add(router.router());
+        found.add(router.router());
       }
     }
-    return peers;
+    peersOf = current;
+    peers = found;
+    return found;
   }
 
   private record Heard(
