--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/AppliedNotes.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/release/AppliedNotes.java
@@ -76,13 +76,13 @@
     if (note.revision() != current.revision() + 1) {
       return;
     }
-    current = reducer.apply(current, note.note());
+    current = reducer.applyAccepted(current, note.note());
     retained.add(note);
     byId.put(note.note().id(), note);
     undelivered.add(current);
     if (retained.size() > retainedMax) {
       AcceptedNote oldest = retained.remove();
-      base = reducer.apply(base, oldest.note());
+      base = reducer.applyAccepted(base, oldest.note());
       byId.remove(oldest.note().id(), oldest);
     }
   }
@@ -95,8 +95,11 @@
     }
   }
 
-  /** Records the newest revision that a peer has applied. */
+  /** Records the newest revision that a peer has applied; 0 says that it knows none either. */
   void onPeerRevision(long revision) {
+    if (revision <= 0) {
+      return;
+    }
     synchronized (lock) {
       heardAny = true;
       highestHeard = Math.max(highestHeard, revision);
