Tell engines how many outstanding requests they may reach

Cause: the selector states the bound with each reservation, and engines can refuse what exceeds it, but the header was not sent.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/EngineClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/EngineClient.java
@@ -45,6 +45,7 @@
    * @param resume whether the attempt continues one that the engine has taken on before
    * @param importFrom an engine to import the chat's cache from, or null
    * @param idempotencyKey the caller's key, or null
+   * @param outstandingMax how many outstanding requests the engine may have with this one
    * @param freshConnection whether to open a connection instead of reusing one
    */
   @SuppressWarnings("ArrayRecordComponent")
@@ -59,5 +60,6 @@
       boolean resume,
       @Nullable URI importFrom,
       @Nullable String idempotencyKey,
+      int outstandingMax,
       boolean freshConnection) {}
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
@@ -165,6 +165,9 @@
     if (request.importFrom() != null) {
       builder.header("X-Import-From", request.importFrom().toString());
     }
+    if (!request.resume() && request.outstandingMax() != Integer.MAX_VALUE) {
+      builder.header("X-Outstanding-Max", Integer.toString(request.outstandingMax()));
+    }
     if (request.idempotencyKey() != null) {
       builder.header("X-Idempotency-Key", request.idempotencyKey());
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
@@ -265,6 +265,7 @@
         resume,
         importFrom(reservation),
         request.headers().get(CallerHeaders.IDEMPOTENCY_KEY),
+        reservation.outstandingRequestsMax(),
         resume || !repeatable);
   }
 
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ChatServingTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ChatServingTest.java
@@ -62,6 +62,7 @@
     assertEquals(answer.headers().firstValue("Coltsfootvale-Request-Id").orElse(""), "q1");
     assertEquals(answer.headers().firstValue("Coltsfootvale-Key-Prefix").orElse(""), "r1");
     assertEquals(fixture.first.seen.element().chat(), "marsh/c1");
+    assertEquals(fixture.first.seen.element().outstandingMax(), "9");
   }
 
   @Test
@@ -106,6 +107,7 @@
     StubEngine.Seen resumed = fixture.first.seen.remove();
     assertNull(original.resumeOffset());
     assertEquals(resumed.id(), original.id());
+    assertNull(resumed.outstandingMax());
     assertEquals(fixture.count("coltsfootvale.attempts.resumed"), 1.0);
     assertEquals(fixture.second.seen.size(), 0);
   }
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/Fakes.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/Fakes.java
@@ -76,6 +76,11 @@
       return null;
     }
 
+    @Override
+    public int outstandingRequestsMax() {
+      return 9;
+    }
+
     @Override
     public void prefilled() {}
 
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/StubEngine.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/StubEngine.java
@@ -41,7 +41,12 @@
     HELD
   }
 
-  record Seen(String id, @Nullable String resumeOffset, String chat, String priority) {}
+  record Seen(
+      String id,
+      @Nullable String resumeOffset,
+      String chat,
+      String priority,
+      @Nullable String outstandingMax) {}
 
   final Queue<Fault> faults = new ConcurrentLinkedQueue<>();
   final Queue<Seen> seen = new ConcurrentLinkedQueue<>();
@@ -76,7 +81,13 @@
     var headers = exchange.getRequestHeaders();
     String id = headers.getFirst("X-Request-Id");
     String offset = headers.getFirst("X-Resume-Offset");
-    seen.add(new Seen(id, offset, headers.getFirst("X-Chat"), headers.getFirst("X-Priority")));
+    seen.add(
+        new Seen(
+            id,
+            offset,
+            headers.getFirst("X-Chat"),
+            headers.getFirst("X-Priority"),
+            headers.getFirst("X-Outstanding-Max")));
     Fault fault = faults.isEmpty() ? Fault.NONE : faults.remove();
     switch (fault) {
       case FULL -> refuse(exchange, "full");
