--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
@@ -266,6 +266,7 @@
         reservation.outstandingRequestsMax(),
         importFrom(reservation),
         request.headers().get(CallerHeaders.IDEMPOTENCY_KEY),
+        reservation.outstandingRequestsMax(),
         resume || !repeatable);
   }
 
