Read the log itself after a watch event

Cause: a note applied straight from a watch event passed by the check of the log's horizon (found by reading). Ruled out: checking the horizon twice in two places. Change: a watch event only starts a read; one that comes during a read starts another.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/KeyPrefixes.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/KeyPrefixes.java
@@ -12,7 +12,8 @@
    * Parses a key. A text that is not of the form of a prefix and a counter has no home.
    *
    * @throws org.coltsfootvale.core.error.ColtsfootvaleException MALFORMED_KEY if the text has the
-   *     form of a prefixed key but is not authentic, or is empty or too long; KEY_EXPIRED; not run
+   *     form of a prefixed key but is not authentic, or is empty or too long; not run. An expired
+   *     key is parsed; its home answers it as unknown
    */
   IdempotencyKey parse(org.coltsfootvale.core.model.OrganisationId organisation, String text);
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/ReleaseFollower.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/ReleaseFollower.java
@@ -53,6 +53,7 @@
   private final Counter peerFetches;
   private final Counter peerFetchFailures;
   private final AtomicBoolean refreshing = new AtomicBoolean();
+  private final AtomicBoolean changedWhileRefreshing = new AtomicBoolean();
   private final AtomicBoolean fetching = new AtomicBoolean();
   private final AtomicReference<Instant> refreshDueAt = new AtomicReference<>(Instant.EPOCH);
   private volatile Instant gossipHeardAt = Instant.EPOCH;
@@ -190,6 +191,7 @@
     }
     refreshDueAt.set(clock.instant().plus(next).plusMillis(jitterMillis.getAsLong()));
     boolean wasReady = log.ready();
+    changedWhileRefreshing.set(false);
     log.refresh()
         .whenComplete(
             (revision, error) -> {
@@ -197,6 +199,9 @@
               if (error == null) {
                 platformHeardAt = clock.instant();
               }
+              if (changedWhileRefreshing.get() && error == null) {
+                refresh(next);
+              }
               if (!wasReady && log.ready()) {
                 logger.atInfo().log("release log ready at revision %d", log.current().revision());
               }
@@ -221,12 +226,8 @@
 
     @Override
     public void onPut(KeyValue value) {
-      AcceptedNote note = codec.read(value.value());
-      if (note.revision() == log.current().revision() + 1) {
-        log.applyFromPeer(List.of(note));
-      } else if (note.revision() > log.current().revision()) {
-        refresh(READER_REFRESH);
-      }
+      changedWhileRefreshing.set(true);
+      refresh(READER_REFRESH);
     }
 
     @Override
