--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/EngineClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/EngineClient.java
@@ -47,7 +47,6 @@
    *     outstanding to take it on; {@code Integer.MAX_VALUE} to leave that to the engine
    * @param importFrom an engine to import the chat's cache from, or null
    * @param idempotencyKey the caller's key, or null
-   * @param outstandingMax how many outstanding requests the engine may have with this one
    * @param freshConnection whether to open a connection instead of reusing one
    */
   @SuppressWarnings("ArrayRecordComponent")
@@ -63,6 +62,5 @@
       int outstandingRequestsMax,
       @Nullable URI importFrom,
       @Nullable String idempotencyKey,
-      int outstandingMax,
       boolean freshConnection) {}
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
@@ -159,7 +159,7 @@
             .header("Accept", "text/event-stream")
             .header("Accept-Encoding", "identity")
             .post(RequestBody.create(request.body(), JSON));
-    if (request.outstandingRequestsMax() < Integer.MAX_VALUE) {
+    if (!request.resume() && request.outstandingRequestsMax() < Integer.MAX_VALUE) {
       builder.header("X-Outstanding-Max", Integer.toString(request.outstandingRequestsMax()));
     }
     if (request.resume()) {
@@ -168,9 +168,6 @@
     if (request.importFrom() != null) {
       builder.header("X-Import-From", request.importFrom().toString());
     }
-    if (!request.resume() && request.outstandingMax() != Integer.MAX_VALUE) {
-      builder.header("X-Outstanding-Max", Integer.toString(request.outstandingMax()));
-    }
     if (request.idempotencyKey() != null) {
       builder.header("X-Idempotency-Key", request.idempotencyKey());
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/ChatCourse.java
@@ -266,7 +266,6 @@
         reservation.outstandingRequestsMax(),
         importFrom(reservation),
         request.headers().get(CallerHeaders.IDEMPOTENCY_KEY),
-        reservation.outstandingRequestsMax(),
         resume || !repeatable);
   }
 
