Exchange dispatch counts between the routers of a small fleet

Ruled out: shorter probe intervals; the report itself lags. Change: message DispatchCounts, its codec, a loop of 50 ms, the selector with the peers' loads.

--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerHandler.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerHandler.java
@@ -2,6 +2,7 @@
 
 import org.coltsfootvale.core.model.RouterIncarnation;
 import org.coltsfootvale.protocol.wire.DemandReport;
+import org.coltsfootvale.protocol.wire.DispatchCounts;
 import org.coltsfootvale.protocol.wire.ForwardRequest;
 import org.coltsfootvale.protocol.wire.Gossip;
 import org.coltsfootvale.protocol.wire.NotesReply;
@@ -14,6 +15,9 @@
   /** Takes a gossip message; replies are sent through {@link PeerTransport#send}. */
   void onGossip(RouterIncarnation from, Gossip message);
 
+  /** Takes another router's dispatch counts. */
+  void onDispatchCounts(RouterIncarnation from, DispatchCounts counts);
+
   /** Answers a demand report. */
   ShareGrant onDemandReport(RouterIncarnation from, DemandReport report);
 
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/ServerChannel.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/ServerChannel.java
@@ -27,6 +27,7 @@
     switch (message.getBodyCase()) {
       case PING -> answerPing(channel);
       case GOSSIP -> context.handler().onGossip(peer, message.getGossip());
+      case DISPATCH_COUNTS -> context.handler().onDispatchCounts(peer, message.getDispatchCounts());
       case DEMAND_REPORT -> answer(channel, message, () -> demandReply(message));
       case NOTES_REQUEST -> answer(channel, message, () -> notesReply(message));
       case FORWARD_REQUEST -> open(channel, message);
--- a/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/NettyPeerTransportTest.java
+++ b/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/NettyPeerTransportTest.java
@@ -12,12 +12,15 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.error.Outcome;
+import org.coltsfootvale.core.model.EngineId;
 import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.placement.DispatchCounts;
 import org.coltsfootvale.protocol.wire.Demand;
 import org.coltsfootvale.protocol.wire.DemandReport;
 import org.coltsfootvale.protocol.wire.Envelope;
@@ -37,6 +40,22 @@
     fixture.stopAll();
   }
 
+  @Test
+  public void dispatchCountsReachThePeerAsTheyWereSent() throws Exception {
+    RecordingPeerHandler handler = new RecordingPeerHandler();
+    NettyPeerTransport one = fixture.start("one", new RecordingPeerHandler());
+    NettyPeerTransport two = fixture.start("two", handler);
+    DispatchCounts counts =
+        new DispatchCounts(
+            true, List.of(new DispatchCounts.Count(new EngineId("engine-1"), 3, 4_000)));
+
+    Envelope message =
+        Envelope.newBuilder().setDispatchCounts(DispatchCodec.encode(counts)).build();
+    assertTrue(one.send(two.boundAddress(), message));
+
+    assertEquals(DispatchCodec.decode(handler.dispatches.poll(20, TimeUnit.SECONDS)), counts);
+  }
+
   @Test
   public void aMessageReachesThePeerUnderTheSendersName() throws Exception {
     RecordingPeerHandler handler = new RecordingPeerHandler();
--- a/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/RecordingPeerHandler.java
+++ b/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/RecordingPeerHandler.java
@@ -6,6 +6,7 @@
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.model.RouterIncarnation;
 import org.coltsfootvale.protocol.wire.DemandReport;
+import org.coltsfootvale.protocol.wire.DispatchCounts;
 import org.coltsfootvale.protocol.wire.ForwardRequest;
 import org.coltsfootvale.protocol.wire.Gossip;
 import org.coltsfootvale.protocol.wire.NotesReply;
@@ -16,6 +17,7 @@
 final class RecordingPeerHandler implements PeerHandler {
 
   final BlockingQueue<Gossip> gossip = new LinkedBlockingQueue<>();
+  final BlockingQueue<DispatchCounts> dispatches = new LinkedBlockingQueue<>();
   final BlockingQueue<RouterIncarnation> alive = new LinkedBlockingQueue<>();
   final BlockingQueue<ForwardResponder> forwards = new LinkedBlockingQueue<>();
   final BlockingQueue<RouterIncarnation> senders = new LinkedBlockingQueue<>();
@@ -26,6 +28,12 @@
     gossip.add(message);
   }
 
+  @Override
+  public void onDispatchCounts(RouterIncarnation from, DispatchCounts counts) {
+    senders.add(from);
+    dispatches.add(counts);
+  }
+
   @Override
   public ShareGrant onDemandReport(RouterIncarnation from, DemandReport report) {
     return ShareGrant.newBuilder().setValidForMillis(report.getDemandsCount()).build();
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/ControlPeerHandler.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/ControlPeerHandler.java
@@ -4,11 +4,14 @@
 import org.coltsfootvale.core.admission.ShareCoordinator;
 import org.coltsfootvale.core.membership.Membership;
 import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.placement.DispatchExchange;
+import org.coltsfootvale.protocol.DispatchCodec;
 import org.coltsfootvale.protocol.ForwardResponder;
 import org.coltsfootvale.protocol.GossipCodec;
 import org.coltsfootvale.protocol.PeerHandler;
 import org.coltsfootvale.protocol.ShareCodec;
 import org.coltsfootvale.protocol.wire.DemandReport;
+import org.coltsfootvale.protocol.wire.DispatchCounts;
 import org.coltsfootvale.protocol.wire.ForwardRequest;
 import org.coltsfootvale.protocol.wire.Gossip;
 import org.coltsfootvale.protocol.wire.NotesReply;
@@ -23,6 +26,7 @@
   private final GossipCodec gossipCodec;
   private final ReleaseFollower releases;
   private final ShareCoordinator shares;
+  private final DispatchExchange dispatches;
   private final ForwardHandler forwards;
   private final Executor executor;
 
@@ -37,6 +41,7 @@
       GossipCodec gossipCodec,
       ReleaseFollower releases,
       ShareCoordinator shares,
+      DispatchExchange dispatches,
       ForwardHandler forwards,
       Executor executor) {
     this.membership = membership;
@@ -44,6 +49,7 @@
     this.gossipCodec = gossipCodec;
     this.releases = releases;
     this.shares = shares;
+    this.dispatches = dispatches;
     this.forwards = forwards;
     this.executor = executor;
   }
@@ -57,6 +63,11 @@
         });
   }
 
+  @Override
+  public void onDispatchCounts(RouterIncarnation from, DispatchCounts counts) {
+    dispatches.onCounts(from, DispatchCodec.decode(counts));
+  }
+
   @Override
   public ShareGrant onDemandReport(RouterIncarnation from, DemandReport report) {
     return ShareCodec.encode(shares.onReport(from, ShareCodec.decode(report)));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/DeferredPeerHandler.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/DeferredPeerHandler.java
@@ -5,6 +5,7 @@
 import org.coltsfootvale.protocol.ForwardResponder;
 import org.coltsfootvale.protocol.PeerHandler;
 import org.coltsfootvale.protocol.wire.DemandReport;
+import org.coltsfootvale.protocol.wire.DispatchCounts;
 import org.coltsfootvale.protocol.wire.ForwardRequest;
 import org.coltsfootvale.protocol.wire.Gossip;
 import org.coltsfootvale.protocol.wire.NotesReply;
@@ -29,6 +30,11 @@
     target.get().onGossip(from, message);
   }
 
+  @Override
+  public void onDispatchCounts(RouterIncarnation from, DispatchCounts counts) {
+    target.get().onDispatchCounts(from, counts);
+  }
+
   @Override
   public ShareGrant onDemandReport(RouterIncarnation from, DemandReport report) {
     return target.get().onDemandReport(from, report);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ControlModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ControlModule.java
@@ -23,6 +23,8 @@
 import org.coltsfootvale.core.orders.DefaultOrderSender;
 import org.coltsfootvale.core.orders.OrderSender;
 import org.coltsfootvale.core.orders.OrderTimings;
+import org.coltsfootvale.core.placement.DefaultEngineSelector;
+import org.coltsfootvale.core.placement.DispatchExchange;
 import org.coltsfootvale.core.platform.KeyValueStore;
 import org.coltsfootvale.core.release.FleetState;
 import org.coltsfootvale.core.release.ReleaseLog;
@@ -34,6 +36,7 @@
 import org.coltsfootvale.protocol.PeerTransportOptions;
 import org.coltsfootvale.router.control.ControlPeerHandler;
 import org.coltsfootvale.router.control.DeferredPeerHandler;
+import org.coltsfootvale.router.control.DispatchLoop;
 import org.coltsfootvale.router.control.EngineProbe;
 import org.coltsfootvale.router.control.GossipLoop;
 import org.coltsfootvale.router.control.HostListPoller;
@@ -91,10 +94,11 @@
       GossipCodec codec,
       ReleaseFollower releases,
       ShareCoordinator shares,
+      DispatchExchange dispatches,
       ForwardService forwards,
       ScheduledExecutorService executor) {
     return new ControlPeerHandler(
-        membership, gossip, codec, releases, shares, forwards::onForward, executor);
+        membership, gossip, codec, releases, shares, dispatches, forwards::onForward, executor);
   }
 
   @Provides
@@ -114,6 +118,16 @@
     return new GossipLoop(gossip, codec, transport, directory);
   }
 
+  @Provides
+  @Singleton
+  static DispatchLoop dispatchLoop(
+      DispatchExchange exchange,
+      DefaultEngineSelector selector,
+      PeerTransport transport,
+      PeerDirectory directory) {
+    return new DispatchLoop(exchange, selector::ownCounts, transport, directory);
+  }
+
   @Provides
   @Singleton
   static ReleaseFollower releaseFollower(
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/LoopModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/LoopModule.java
@@ -14,6 +14,7 @@
 import org.coltsfootvale.core.settings.RouterSettings;
 import org.coltsfootvale.router.control.ControlLoop;
 import org.coltsfootvale.router.control.ControlLoops;
+import org.coltsfootvale.router.control.DispatchLoop;
 import org.coltsfootvale.router.control.EngineProbe;
 import org.coltsfootvale.router.control.GossipLoop;
 import org.coltsfootvale.router.control.HostListPoller;
@@ -28,6 +29,7 @@
 final class LoopModule {
 
   private static final Duration MEMBERSHIP_INTERVAL = Duration.ofMillis(100);
+  private static final Duration DISPATCH_INTERVAL = Duration.ofMillis(50);
   private static final Duration RELEASE_INTERVAL = Duration.ofMillis(200);
   private static final Duration HOST_LIST_INTERVAL = Duration.ofMillis(500);
   private static final Duration SECOND = Duration.ofSeconds(1);
@@ -47,6 +49,12 @@
     return ControlLoop.of("gossip", interval, gossip::tick);
   }
 
+  @Provides
+  @IntoSet
+  static ControlLoop dispatches(DispatchLoop dispatches) {
+    return ControlLoop.of("dispatches", DISPATCH_INTERVAL, dispatches::tick);
+  }
+
   @Provides
   @IntoSet
   static ControlLoop releases(ReleaseFollower releases) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ServingDecisionModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ServingDecisionModule.java
@@ -25,7 +25,10 @@
 import org.coltsfootvale.core.once.OnceRegistry;
 import org.coltsfootvale.core.placement.ContinuationTokens;
 import org.coltsfootvale.core.placement.DefaultContinuationTokens;
+import org.coltsfootvale.core.placement.DefaultDispatchExchange;
 import org.coltsfootvale.core.placement.DefaultEngineSelector;
+import org.coltsfootvale.core.placement.DispatchExchange;
+import org.coltsfootvale.core.placement.DispatchExchangeOptions;
 import org.coltsfootvale.core.placement.EngineSelector;
 import org.coltsfootvale.core.placement.PlacementOptions;
 import org.coltsfootvale.core.platform.KeyValueStore;
@@ -66,12 +69,25 @@
 
   @Provides
   @Singleton
-  static EngineSelector engineSelector(
+  static DispatchExchange dispatchExchange(
+      RouterIncarnation self, Supplier<FleetView> view, InstantSource clock) {
+    return new DefaultDispatchExchange(self, view, clock, DispatchExchangeOptions.DEFAULT);
+  }
+
+  @Provides
+  @Singleton
+  static DefaultEngineSelector defaultEngineSelector(
       Supplier<FleetState> state,
       Supplier<FleetView> view,
+      DispatchExchange peers,
       CircuitBreakers circuits,
       InstantSource clock) {
-    return new DefaultEngineSelector(state, view, circuits, clock, PlacementOptions.DEFAULT);
+    return new DefaultEngineSelector(state, view, peers, circuits, clock, PlacementOptions.DEFAULT);
+  }
+
+  @Provides
+  static EngineSelector engineSelector(DefaultEngineSelector selector) {
+    return selector;
   }
 
   @Provides
