Send nothing more to replicas of services that the host list calls leaving

Cause: the host list's entries for services reached nobody; replicas were found leaving by their own refusal alone. Routers that are not platform readers read the list every minute. Ruled out: service replicas as engines in membership; they have no load and no observers. The slope measurement takes its warm-up as an option.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/LeavingReplicas.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/request/LeavingReplicas.java
@@ -8,12 +8,12 @@
 import java.util.function.Predicate;
 
 /**
- * Remembers for a while which replicas of plain services have refused a request because they are
- * leaving, so that they receive no more of them. Thread-safe.
+ * Remembers for a while which replicas of plain services are leaving, by their own refusal or by
+ * the platform's host list, so that they receive no more requests. Thread-safe.
  */
 public final class LeavingReplicas implements Predicate<String> {
 
-  private static final Duration REMEMBERED_FOR = Duration.ofSeconds(30);
+  private static final Duration REMEMBERED_FOR = Duration.ofMinutes(2);
   private static final int REPLICAS_MAX = 10_000;
 
   private final Cache<String, Boolean> leaving;
@@ -33,6 +33,13 @@
     leaving.put(replica, true);
   }
 
+  /** Takes what the host list says of a replica; a lagging "live" does not outweigh a refusal. */
+  public void onListed(String replica, boolean listedLeaving) {
+    if (listedLeaving) {
+      add(replica);
+    }
+  }
+
   /** Tells whether a replica is known to be leaving. */
   @Override
   public boolean test(String replica) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ControlModule.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/wiring/ControlModule.java
@@ -49,6 +49,7 @@
 import org.coltsfootvale.router.forward.ForwardService;
 import org.coltsfootvale.router.platform.HostListClient;
 import org.coltsfootvale.router.platform.WeightStoreClient;
+import org.coltsfootvale.router.request.LeavingReplicas;
 
 /** Provides the inner protocol and the loops of the control traffic. */
 @Module
@@ -149,12 +150,14 @@
   static HostListPoller hostListPoller(
       HostListClient client,
       Membership membership,
+      LeavingReplicas replicas,
       PlatformReaderRole role,
       InstantSource clock,
       RouterSettings settings,
       @Jitter LongSupplier jitterMillis) {
     Duration interval = Duration.ofMillis(settings.platform().readerPollMillis());
-    return new HostListPoller(client, membership, role, clock, interval, jitterMillis);
+    return new HostListPoller(
+        client, membership, replicas::onListed, role, clock, interval, jitterMillis);
   }
 
   @Provides
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/slopes/SlopeMeasurement.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/slopes/SlopeMeasurement.java
@@ -17,7 +17,6 @@
 /** Runs a fleet of one size and reads its figures. */
 final class SlopeMeasurement {
 
-  private static final Duration WARM_UP = Duration.ofSeconds(60);
   private static final Duration WINDOW = Duration.ofSeconds(60);
   private static final Duration SPREAD_MAX = Duration.ofSeconds(30);
   private static final Duration STEP = Duration.ofMillis(20);
@@ -28,14 +27,17 @@
   private final String name;
   private final FleetShape shape;
   private final long seed;
+  private final Duration warmUp;
   private final VirtualFleet fleet;
   private final UniformRandomProvider random;
   private final Map<RouterId, GossipCounters> before = new HashMap<>();
 
-  SlopeMeasurement(String name, FleetShape shape, GossipFactory factory, long seed) {
+  SlopeMeasurement(
+      String name, FleetShape shape, GossipFactory factory, long seed, Duration warmUp) {
     this.name = name;
     this.shape = shape;
     this.seed = seed;
+    this.warmUp = warmUp;
     this.fleet = new VirtualFleet(shape, factory, seed);
     this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1);
   }
@@ -43,7 +45,7 @@
   /** Runs the measurement. */
   SlopeRow run() {
     long heapBefore = usedHeapBytes();
-    fleet.time().advance(WARM_UP);
+    fleet.time().advance(warmUp);
     long heapAfter = usedHeapBytes();
     markStart();
     long betweenDataCentres = fleet.bytesBetweenDataCentres();
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/slopes/SlopesCommand.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/slopes/SlopesCommand.java
@@ -1,5 +1,6 @@
 package org.coltsfootvale.verify.slopes;
 
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.apache.commons.cli.CommandLine;
@@ -11,6 +12,7 @@
 public final class SlopesCommand {
 
   private static final String SEED = "4";
+  private static final String WARM_UP_SECONDS = "60";
   private static final String UNIFORM = "uniform";
 
   /** The baseline sorts all its changes for each message, which takes minutes beyond this size. */
@@ -20,6 +22,7 @@
       new Options()
           .addOption("g", "gossip", true, "mesh, random or uniform; all by default")
           .addOption("r", "routers", true, "6, 20, 80, 160 or 320; all by default")
+          .addOption("w", "warm-up-seconds", true, "the time before the window, 60 by default")
           .addOption("s", "seed", true, "the seed, 4 by default");
 
   private SlopesCommand() {}
@@ -46,7 +49,11 @@
     boolean asked = line.getOptionValue("gossip", name).equals(name);
     boolean tooSlow = name.equals(UNIFORM) && shape.routers() > UNIFORM_ROUTERS_MAX;
     if (asked && !tooSlow) {
-      System.out.println(new SlopeMeasurement(name, shape, factory, seed).run().toMarkdown());
+      Duration warmUp =
+          Duration.ofSeconds(
+              Long.parseLong(line.getOptionValue("warm-up-seconds", WARM_UP_SECONDS)));
+      System.out.println(
+          new SlopeMeasurement(name, shape, factory, seed, warmUp).run().toMarkdown());
     }
   }
 
@@ -63,7 +70,7 @@
       return new DefaultParser().parse(OPTIONS, args);
     } catch (ParseException e) {
       throw new IllegalArgumentException(
-          "slopes takes --gossip, --routers and --seed: " + e.getMessage(), e);
+          "slopes takes --gossip, --routers, --warm-up-seconds and --seed: " + e.getMessage(), e);
     }
   }
 }
--- a/coltsfootvale-verify/src/test/java/org/coltsfootvale/verify/process/Fleet.java
+++ b/coltsfootvale-verify/src/test/java/org/coltsfootvale/verify/process/Fleet.java
@@ -146,16 +146,25 @@
 
   /** Makes the platform's host list call an engine leaving. */
   void listEngineLeaving(int engine) {
-    String host =
+    listLeaving("engine-" + engine, "engine", engines.get(engine).port());
+  }
+
+  /** Makes the platform's host list call the replica of the plain service leaving. */
+  void listServiceLeaving() {
+    listLeaving("sightings-1", "service", service.port());
+  }
+
+  private void listLeaving(String id, String kind, int port) {
+    String hosts =
         """
-        {"hosts":[{"id":"engine-%d","address":"127.0.0.1:%d","kind":"engine",
+        {"hosts":[{"id":"%s","address":"127.0.0.1:%d","kind":"%s",
          "dataCentre":"dc-0","state":"leaving"}]}
         """
-            .formatted(engine, engines.get(engine).port());
+            .formatted(id, port, kind);
     Request request =
         new Request.Builder()
             .url(platform.url() + "/hosts")
-            .post(RequestBody.create(host, MediaType.get("application/json")))
+            .post(RequestBody.create(hosts, MediaType.get("application/json")))
             .build();
     send(request);
   }
--- a/coltsfootvale-verify/src/test/java/org/coltsfootvale/verify/process/ProcessFailureTest.java
+++ b/coltsfootvale-verify/src/test/java/org/coltsfootvale/verify/process/ProcessFailureTest.java
@@ -152,6 +152,22 @@
     assertEquals(fleet.acceptedBy(0), before);
   }
 
+  @Test
+  public void aReplicaThatTheHostListCallsLeavingReceivesNoNewWork() throws Exception {
+    RouterProcess router = fleet.routers.get(0);
+    assertEquals(fleet.sighting(router, fleet.freshKey(router, 1)).status(), 200);
+    fleet.listServiceLeaving();
+    for (RouterProcess each : fleet.routers) {
+      Fleet.await(
+          each.id() + " sends nothing more to the replica",
+          () -> fleet.sighting(each, fleet.freshKey(each, 2)).status() == 503);
+    }
+    String key = fleet.freshKey(router, 3);
+    HttpReply refused = fleet.sighting(router, key);
+    assertEquals(refused.outcome(), "not_run", refused.body());
+    assertEquals(fleet.service.runs(key), 0);
+  }
+
   @Test
   public void aStreamThatFallsSilentOrEndsHalfWayIsCompletedToTheSameText() throws Exception {
     String whole = fleet.chat(fleet.routers.get(0), "steady", 40).body();
