Send liveness whatever is received, so that a large fleet can start

Cause: at 160 routers most knew only 15 to 64 of the others for good. Received bytes drained the one token bucket of the first routers, to which all others sent loads; with it empty they sent no liveness, so nobody learnt of other routers and nobody sent elsewhere. Change: half of the budget is a bucket of its own for sending liveness, charged by sent bytes only. GossipTrafficTest failed before and passes.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/GossipTraffic.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/gossip/GossipTraffic.java
@@ -2,11 +2,16 @@
 
 import java.time.Instant;
 
-/** Counts gossip and holds it to its byte budget. Not thread-safe. */
+/**
+ * Counts gossip and holds it to its byte budget. Half of the budget is kept for sending liveness,
+ * so that a router which receives more than its share still answers with what it knows. Not
+ * thread-safe.
+ */
 final class GossipTraffic {
 
   private final GossipOptions options;
   private final TokenBucket budget;
+  private final TokenBucket sending;
   private long messagesSent;
   private long messagesReceived;
   private long bytesSent;
@@ -18,14 +23,16 @@
   GossipTraffic(GossipOptions options, Instant now) {
     this.options = options;
     this.budget = new TokenBucket(options.bytesPerSecond(), options.burstBytes(), now);
+    this.sending = new TokenBucket(options.bytesPerSecond() / 2, options.burstBytes() / 2, now);
   }
 
   /** Returns the bytes that entries of a class may use now. */
   double allowance(EntryClass entryClass, Instant now) {
     double available = budget.available(now);
+    double forLiveness = Math.max(available, sending.available(now));
     return switch (entryClass) {
-      case LEAVING -> available + options.burstBytes();
-      case LIVENESS -> available;
+      case LEAVING -> forLiveness + options.burstBytes();
+      case LIVENESS -> forLiveness;
       case LOAD -> available - options.loadReserveBytes();
     };
   }
@@ -40,6 +47,7 @@
     messagesSent++;
     bytesSent += bytes;
     budget.charge(bytes, now);
+    sending.charge(bytes, now);
   }
 
   /** Counts and charges a message that was received. */
