--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/EngineProbe.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/EngineProbe.java
@@ -8,6 +8,7 @@
 import java.net.URI;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -24,9 +25,12 @@
 import org.coltsfootvale.core.release.EngineSpec;
 import org.coltsfootvale.core.release.FleetState;
 
-/** Reads the load of the engines that this router observes. */
+/** Reads the load of the engines that this router observes, a bounded number at each tick. */
 public final class EngineProbe {
 
+  /** Bounds the bytes of probes whatever the number of observed engines. */
+  private static final int PROBES_PER_TICK = 2;
+
   private final OkHttpClient client;
   private final ObjectMapper mapper;
   private final Membership membership;
@@ -35,6 +39,7 @@
   private final Counter probes;
   private final Counter silent;
   private final Set<EngineId> inProgress = ConcurrentHashMap.newKeySet();
+  private int turn;
 
   /**
    * Creates a probe that is driven by {@link #tick}.
@@ -59,9 +64,12 @@
     this.silent = meters.counter("coltsfootvale.engine.probes.silent");
   }
 
-  /** Asks each observed engine that has answered the last probe. */
+  /** Asks the next observed engines in turn, but none that has not answered the last probe. */
   public void tick() {
-    for (EngineId engine : membership.observedEngines()) {
+    List<EngineId> observed = membership.observedEngines();
+    int probed = Math.min(PROBES_PER_TICK, observed.size());
+    for (int i = 0; i < probed; i++) {
+      EngineId engine = observed.get(Math.floorMod(turn++, observed.size()));
       EngineSpec spec = state.get().engines().get(engine);
       if (spec != null && inProgress.add(engine)) {
         probe(engine, spec.address());
