--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/DefaultKeyPrefixes.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/DefaultKeyPrefixes.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.time.Duration;
 import java.time.Instant;
@@ -13,7 +12,6 @@
 import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
@@ -21,6 +19,7 @@
 import org.coltsfootvale.core.model.RouterId;
 import org.coltsfootvale.core.model.RouterIncarnation;
 import org.coltsfootvale.core.support.Checks;
+import org.coltsfootvale.core.support.Digests;
 
 /**
  * Key prefixes authenticated by HMAC-SHA-256 with the fleet's secret. The text of a prefix is
@@ -35,7 +34,6 @@
   private static final Pattern PREFIXED_KEY =
       Pattern.compile("k1-([A-Za-z0-9_-]{1,400})\\.([0-9]{1,18})");
   private static final String TAG = "k1-";
-  private static final String ALGORITHM = "HmacSHA256";
   private static final int MAC_BYTES = 16;
   private static final int FIXED_BYTES = 3 * Long.BYTES;
   private static final int SECRET_BYTES_MIN = 16;
@@ -130,13 +128,7 @@
   }
 
   private static byte[] mac(SecretKeySpec secret, byte[] payload) {
-    try {
-      Mac mac = Mac.getInstance(ALGORITHM);
-      mac.init(secret);
-      return Arrays.copyOf(mac.doFinal(payload), MAC_BYTES);
-    } catch (GeneralSecurityException e) {
-      throw new IllegalStateException("HMAC-SHA-256 is part of every Java runtime", e);
-    }
+    return Arrays.copyOf(Digests.hmacSha256(secret).doFinal(payload), MAC_BYTES);
   }
 
   private static SecretKeySpec secret(byte[] bytes) {
@@ -145,7 +137,7 @@
         "a secret must have at least %d bytes, but has %d",
         SECRET_BYTES_MIN,
         bytes.length);
-    return new SecretKeySpec(bytes, ALGORITHM);
+    return new SecretKeySpec(bytes, Digests.HMAC_ALGORITHM);
   }
 
   private static ColtsfootvaleException malformed(String detail) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/PlatformClaimStore.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/once/PlatformClaimStore.java
@@ -4,9 +4,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.HexFormat;
 import java.util.Optional;
@@ -22,6 +19,7 @@
 import org.coltsfootvale.core.platform.KeyValue;
 import org.coltsfootvale.core.platform.KeyValueStore;
 import org.coltsfootvale.core.platform.PlatformException;
+import org.coltsfootvale.core.support.Digests;
 import org.coltsfootvale.core.support.Futures;
 import org.jspecify.annotations.Nullable;
 
@@ -136,16 +134,8 @@
   }
 
   private static String path(IdempotencyKey key) {
-    byte[] text = key.text().getBytes(StandardCharsets.UTF_8);
-    return CLAIMS_PREFIX + key.organisation() + "/" + HexFormat.of().formatHex(sha256(text));
-  }
-
-  private static byte[] sha256(byte[] bytes) {
-    try {
-      return MessageDigest.getInstance("SHA-256").digest(bytes);
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("SHA-256 is part of every Java runtime", e);
-    }
+    String hash = HexFormat.of().formatHex(Digests.sha256(key.text()));
+    return CLAIMS_PREFIX + key.organisation() + "/" + hash;
   }
 
   private byte[] write(Claim claim) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultContinuationTokens.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/placement/DefaultContinuationTokens.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.time.Duration;
 import java.time.Instant;
@@ -23,6 +22,7 @@
 import org.coltsfootvale.core.model.EngineId;
 import org.coltsfootvale.core.model.OrganisationId;
 import org.coltsfootvale.core.support.Checks;
+import org.coltsfootvale.core.support.Digests;
 
 /**
  * Tokens authenticated by HMAC-SHA-256 over the hint, the organisation and the chat. The first
@@ -34,7 +34,6 @@
   private static final int MAC_BYTES = 16;
   private static final int SECRET_BYTES_MIN = 16;
   private static final int TOKEN_CHARACTERS_MAX = 512;
-  private static final String ALGORITHM = "HmacSHA256";
   private static final Duration CLOCK_SKEW_MAX = Duration.ofMinutes(1);
 
   private final List<SecretKeySpec> secrets;
@@ -57,7 +56,8 @@
           SECRET_BYTES_MIN,
           secret.length);
     }
-    this.secrets = secrets.stream().map(bytes -> new SecretKeySpec(bytes, ALGORITHM)).toList();
+    this.secrets =
+        secrets.stream().map(bytes -> new SecretKeySpec(bytes, Digests.HMAC_ALGORITHM)).toList();
     this.ageMax = ageMax;
     this.clock = clock;
   }
@@ -137,18 +137,13 @@
 
   private static byte[] mac(
       SecretKeySpec secret, byte[] payload, OrganisationId organisation, String chat) {
-    try {
-      Mac mac = Mac.getInstance(ALGORITHM);
-      mac.init(secret);
-      mac.update(payload);
-      mac.update((byte) 0);
-      mac.update(organisation.value().getBytes(StandardCharsets.UTF_8));
-      mac.update((byte) 0);
-      mac.update(chat.getBytes(StandardCharsets.UTF_8));
-      return Arrays.copyOf(mac.doFinal(), MAC_BYTES);
-    } catch (GeneralSecurityException e) {
-      throw new IllegalStateException("the platform lacks " + ALGORITHM, e);
-    }
+    Mac mac = Digests.hmacSha256(secret);
+    mac.update(payload);
+    mac.update((byte) 0);
+    mac.update(organisation.value().getBytes(StandardCharsets.UTF_8));
+    mac.update((byte) 0);
+    mac.update(chat.getBytes(StandardCharsets.UTF_8));
+    return Arrays.copyOf(mac.doFinal(), MAC_BYTES);
   }
 
   private static ColtsfootvaleException malformed() {
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/HandshakeProofs.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/HandshakeProofs.java
@@ -2,12 +2,12 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.util.List;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 import org.coltsfootvale.core.support.Checks;
+import org.coltsfootvale.core.support.Digests;
 import org.coltsfootvale.protocol.wire.Hello;
 import org.jspecify.annotations.Nullable;
 
@@ -20,7 +20,6 @@
   /** The bytes of a nonce. */
   static final int NONCE_BYTES = 16;
 
-  private static final String ALGORITHM = "HmacSHA256";
   private static final int SECRET_LENGTH_MIN = 16;
 
   private final List<SecretKeySpec> keys;
@@ -40,7 +39,10 @@
     }
     keys =
         secrets.stream()
-            .map(secret -> new SecretKeySpec(secret.getBytes(StandardCharsets.UTF_8), ALGORITHM))
+            .map(
+                secret ->
+                    new SecretKeySpec(
+                        secret.getBytes(StandardCharsets.UTF_8), Digests.HMAC_ALGORITHM))
             .toList();
   }
 
@@ -65,16 +67,11 @@
   }
 
   private static byte[] mac(SecretKeySpec key, Side side, Hello client, Hello server) {
-    try {
-      Mac mac = Mac.getInstance(ALGORITHM);
-      mac.init(key);
-      mac.update(side.label);
-      update(mac, client);
-      update(mac, server);
-      return mac.doFinal();
-    } catch (GeneralSecurityException e) {
-      throw new IllegalStateException("HMAC-SHA256 is missing from this JDK", e);
-    }
+    Mac mac = Digests.hmacSha256(key);
+    mac.update(side.label);
+    update(mac, client);
+    update(mac, server);
+    return mac.doFinal();
   }
 
   private static void update(Mac mac, Hello hello) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/caller/OrganisationKeys.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/caller/OrganisationKeys.java
@@ -1,8 +1,6 @@
 package org.coltsfootvale.router.caller;
 
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
@@ -12,6 +10,7 @@
 import org.coltsfootvale.core.model.OrganisationId;
 import org.coltsfootvale.core.release.FleetState;
 import org.coltsfootvale.core.release.OrganisationSpec;
+import org.coltsfootvale.core.support.Digests;
 import org.jspecify.annotations.Nullable;
 
 /** Finds the organisation of a caller by the hash of its key; indexed once for each revision. */
@@ -42,7 +41,7 @@
     if (authorization == null || !authorization.startsWith(SCHEME)) {
       throw refused("the request carries no key");
     }
-    byte[] hash = sha256(authorization.substring(SCHEME.length()).strip());
+    byte[] hash = Digests.sha256(authorization.substring(SCHEME.length()).strip());
     @Nullable Entry entry = index().entries().get(HexFormat.of().formatHex(hash));
     if (entry == null || !MessageDigest.isEqual(entry.hash(), hash)) {
       throw refused("the key belongs to no organisation");
@@ -70,14 +69,6 @@
     return entries;
   }
 
-  private static byte[] sha256(String key) {
-    try {
-      return MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("the Java runtime has no SHA-256", e);
-    }
-  }
-
   private static ColtsfootvaleException refused(String detail) {
     return ColtsfootvaleException.notRun(ErrorKind.UNAUTHENTICATED, detail);
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/operator/OperatorAuthenticator.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/operator/OperatorAuthenticator.java
@@ -1,14 +1,13 @@
 package org.coltsfootvale.router.operator;
 
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.function.Supplier;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.release.FleetState;
 import org.coltsfootvale.core.release.OperatorSpec;
+import org.coltsfootvale.core.support.Digests;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -36,7 +35,7 @@
     if (authorization == null || !authorization.startsWith(SCHEME)) {
       throw refused("The request names no operator token.");
     }
-    byte[] hash = hash(authorization.substring(SCHEME.length()).trim());
+    byte[] hash = Digests.sha256(authorization.substring(SCHEME.length()).trim());
     if (!isKnown(hash)) {
       throw refused("The operator token is not known.");
     }
@@ -58,15 +57,6 @@
     return MessageDigest.isEqual(HexFormat.of().parseHex(expectedHex), hash);
   }
 
-  private static byte[] hash(String token) {
-    try {
-      MessageDigest digest = MessageDigest.getInstance("SHA-256");
-      return digest.digest(token.getBytes(StandardCharsets.UTF_8));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("the Java runtime lacks SHA-256", e);
-    }
-  }
-
   private static ColtsfootvaleException refused(String detail) {
     return ColtsfootvaleException.notRun(
         ErrorKind.UNAUTHENTICATED,
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/operator/OperatorRoutes.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/operator/OperatorRoutes.java
@@ -8,10 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
+import org.coltsfootvale.core.error.Failures;
 import org.coltsfootvale.core.model.FleetView;
 import org.coltsfootvale.core.release.AcceptedNote;
 import org.coltsfootvale.core.release.FleetState;
@@ -119,20 +119,12 @@
               if (error == null) {
                 json(ctx, 201, SubmittedNote.of(accepted));
               } else {
-                problem(ctx, typed(error));
+                problem(ctx, Failures.typed(error));
               }
               return null;
             });
   }
 
-  private static ColtsfootvaleException typed(Throwable error) {
-    Throwable cause = error instanceof CompletionException ? error.getCause() : error;
-    if (cause instanceof ColtsfootvaleException known) {
-      return known;
-    }
-    return ColtsfootvaleException.unknown(ErrorKind.INTERNAL, String.valueOf(cause));
-  }
-
   private static long number(Context ctx, String name, long byDefault) {
     String text = ctx.queryParam(name);
     if (text == null) {
