--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RepeatBudget.java
@@ -0,0 +1,11 @@
+package org.coltsfootvale.core.course;
+
+/** Allows requests to be sent once more, within what the whole fleet may spend. */
+public interface RepeatBudget {
+
+  /** Counts a new request for a service. */
+  void requestArrived(String service);
+
+  /** Takes one repeat for a service; returns false if none may be spent now. */
+  boolean tryRepeat(String service);
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestDescription.java
@@ -0,0 +1,49 @@
+package org.coltsfootvale.core.course;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What a request tells of itself.
+ *
+ * @param requestId the caller's id of this request
+ * @param patience how long the caller waits, if it says so
+ * @param key the organisation's key, if one was sent
+ * @param prompt the parts of the prompt in order; the last one belongs to the request or its
+ *     session, empty for requests without a prompt
+ * @param promptTokens the size of the prompt in tokens, 0 without one
+ * @param outputTokensMax the greatest number of tokens of the answer, 0 without a prompt
+ * @param lastEventId the last event that the caller has already received, if it resumes a stream
+ */
+public record RequestDescription(
+    String requestId,
+    Optional<Duration> patience,
+    Optional<String> key,
+    List<PromptPart> prompt,
+    int promptTokens,
+    int outputTokensMax,
+    OptionalLong lastEventId) {
+
+  /** Copies the list. */
+  public RequestDescription {
+    prompt = List.copyOf(prompt);
+  }
+
+  /**
+   * Returns the identity of the longest part of the prompt that other requests share, or an empty
+   * text if the request has no prompt.
+   */
+  public String sharedPart() {
+    if (prompt.isEmpty()) {
+      return "";
+    }
+    return prompt.get(Math.max(0, prompt.size() - 2)).id();
+  }
+
+  /** Returns the tokens of the last part, which no other request shares. */
+  public int ownTokens() {
+    return prompt.isEmpty() ? promptTokens : prompt.get(prompt.size() - 1).tokens();
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/SlidingCount.java
@@ -0,0 +1,41 @@
+package org.coltsfootvale.core.course;
+
+/** Counts events within a sliding window, to a twentieth of its length. Not thread-safe. */
+final class SlidingCount {
+
+  private static final int BUCKETS = 20;
+
+  private final long bucketNanos;
+  private final long[] counts = new long[BUCKETS];
+  private long newestBucket;
+
+  SlidingCount(long windowNanos) {
+    this.bucketNanos = Math.max(1, windowNanos / BUCKETS);
+    this.newestBucket = Long.MIN_VALUE / 2;
+  }
+
+  /** Counts one event now. */
+  void add(long nowNanos) {
+    advance(nowNanos);
+    counts[(int) Math.floorMod(newestBucket, (long) BUCKETS)]++;
+  }
+
+  /** Returns the number of events in the window that ends now. */
+  long sum(long nowNanos) {
+    advance(nowNanos);
+    long sum = 0;
+    for (long count : counts) {
+      sum += count;
+    }
+    return sum;
+  }
+
+  private void advance(long nowNanos) {
+    long bucket = Math.floorDiv(nowNanos, bucketNanos);
+    long steps = Math.min(BUCKETS, bucket - newestBucket);
+    for (long step = 0; step < steps; step++) {
+      counts[(int) Math.floorMod(bucket - step, (long) BUCKETS)] = 0;
+    }
+    newestBucket = Math.max(newestBucket, bucket);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
@@ -0,0 +1,73 @@
+package org.coltsfootvale.core.dispatch;
+
+import java.util.Collection;
+import java.util.function.LongSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends requests to the replica with the least load for each of its slots, in the own data centre
+ * when loads are equal, and picks among equals at random.
+ */
+final class LeastLoadChoice implements ReplicaChoice {
+
+  /** What crossing to another data centre counts, in slots in use. */
+  private static final double CROSSING = 0.04;
+
+  private static final double RANDOM = 0.01;
+
+  private final DispatchOptions options;
+  private final String ownDataCentre;
+  private final LongSupplier nanoTime;
+  private final UniformRandomProvider random;
+
+  LeastLoadChoice(
+      DispatchOptions options,
+      String ownDataCentre,
+      LongSupplier nanoTime,
+      UniformRandomProvider random) {
+    this.options = options;
+    this.ownDataCentre = ownDataCentre;
+    this.nanoTime = nanoTime;
+    this.random = random;
+  }
+
+  @Override
+  public @Nullable ReplicaState choose(Work work, Collection<ReplicaState> replicas) {
+    long now = nanoTime.getAsLong();
+    ReplicaState best = null;
+    double bestCost = Double.POSITIVE_INFINITY;
+    for (ReplicaState replica : replicas) {
+      if (work.avoids(replica) || replica.health().suspended()) {
+        continue;
+      }
+      int slots = Math.max(1, replica.replica().slots());
+      double load = replica.load(now, options.reportAgeMax().toNanos());
+      if (load >= 2.0 * slots) {
+        continue;
+      }
+      double cost = load / slots + random.nextDouble() * RANDOM;
+      cost += replica.health().failureShare() * failureCost(replica);
+      if (!replica.replica().dataCentre().equals(ownDataCentre)) {
+        cost += CROSSING;
+      }
+      if (silent(replica, now)) {
+        cost += 1;
+      }
+      if (cost < bestCost) {
+        best = replica;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** A replica that fails more often than it should costs as much as a full one. */
+  private double failureCost(ReplicaState replica) {
+    return replica.health().failureShare() > options.failureShareMax() ? 2.0 : 0.1;
+  }
+
+  private boolean silent(ReplicaState replica, long now) {
+    return replica.silentSince(now) > options.silenceMax().toNanos();
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaChoice.java
@@ -0,0 +1,12 @@
+package org.coltsfootvale.core.dispatch;
+
+import java.util.Collection;
+import org.jspecify.annotations.Nullable;
+
+/** Picks the replica that a request goes to. */
+@FunctionalInterface
+public interface ReplicaChoice {
+
+  /** Returns the replica for a request, or null if none takes it now. */
+  @Nullable ReplicaState choose(Work work, Collection<ReplicaState> replicas);
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -0,0 +1,112 @@
+package org.coltsfootvale.core.dispatch;
+
+import org.coltsfootvale.core.replica.Replica;
+import org.coltsfootvale.core.support.RendezvousHashing;
+import org.jspecify.annotations.Nullable;
+
+/** What this router knows of one replica's load and health. Confined to one thread. */
+public final class ReplicaState {
+
+  private final ReplicaHealth health;
+  private final long nameHash;
+  private Replica replica;
+  private int inFlight;
+  private int unstarted;
+  private long unstartedTokens;
+  private int peersInFlight;
+  private @Nullable LoadReport report;
+  private long reportedNanos;
+  private int inFlightAtReport;
+  private long occupiedNanos;
+
+  ReplicaState(Replica replica, ReplicaHealth health) {
+    this.replica = replica;
+    this.health = health;
+    this.nameHash = RendezvousHashing.hash(replica.id());
+  }
+
+  /** Returns the record of the replica. */
+  public Replica replica() {
+    return replica;
+  }
+
+  /** Returns the health of the replica. */
+  public ReplicaHealth health() {
+    return health;
+  }
+
+  /** Returns the requests of this router that the replica works on. */
+  public int inFlight() {
+    return inFlight;
+  }
+
+  void update(Replica latest) {
+    replica = latest;
+  }
+
+  long nameHash() {
+    return nameHash;
+  }
+
+  void occupy(Work work, long nowNanos) {
+    if (inFlight == 0) {
+      occupiedNanos = nowNanos;
+    }
+    inFlight++;
+    unstarted++;
+    unstartedTokens += work.description().promptTokens();
+  }
+
+  /** Takes note that the answer of a request has begun. */
+  public void started(Work work) {
+    unstarted--;
+    unstartedTokens -= work.description().promptTokens();
+  }
+
+  void vacate() {
+    inFlight--;
+  }
+
+  void reported(LoadReport latest, long nowNanos) {
+    report = latest;
+    reportedNanos = nowNanos;
+    inFlightAtReport = inFlight;
+  }
+
+  void peersInFlight(int count) {
+    peersInFlight = count;
+  }
+
+  /** Returns for how long the replica has had requests and sent nothing, in nanoseconds. */
+  long silentSince(long nowNanos) {
+    if (inFlight == 0) {
+      return 0;
+    }
+    return nowNanos - Math.max(occupiedNanos, health.heardNanos());
+  }
+
+  /** Returns the tokens of prompts that this router has sent and that have brought no event yet. */
+  long unstartedTokens() {
+    return unstartedTokens;
+  }
+
+  /** Returns the requests of this router whose answers have not begun. */
+  int unstarted() {
+    return unstarted;
+  }
+
+  /**
+   * Estimates the requests of all routers at the replica.
+   *
+   * @param reportAgeMaxNanos the age from which on the replica's own count is ignored
+   */
+  double load(long nowNanos, long reportAgeMaxNanos) {
+    LoadReport latest = report;
+    int others = peersInFlight;
+    if (latest != null && nowNanos - reportedNanos <= reportAgeMaxNanos) {
+      int total = latest.running() + latest.waiting();
+      others = Math.max(others, total - inFlightAtReport);
+    }
+    return inFlight + Math.max(0, others);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -0,0 +1,187 @@
+package org.coltsfootvale.core.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.coltsfootvale.core.replica.Replica;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The requests of one service: which replica each goes to, and in which order they wait while none
+ * takes them. Confined to one thread.
+ */
+public final class ServiceDispatcher {
+
+  /** The waiting requests that a router holds at most; beyond it the least urgent is refused. */
+  private static final int WAITING_MAX = 512;
+
+  /** How long a caller stays away at least after a refusal. */
+  private static final Duration RETRY_AFTER_MIN = Duration.ofMillis(150);
+
+  /** How much longer callers stay away, by chance, so that they do not return together. */
+  private static final Duration RETRY_AFTER_SPREAD = Duration.ofMillis(500);
+
+  private static final Comparator<Work> ORDER =
+      Comparator.comparingInt(Work::urgency)
+          .thenComparingLong(work -> work.arrivedNanos() + work.goalNanos());
+
+  private final DispatchOptions options;
+  private final LongSupplier nanoTime;
+  private final UniformRandomProvider random;
+  private final ReplicaChoice promptChoice;
+  private final ReplicaChoice leastLoadChoice;
+  private final Supplier<Integer> routers;
+  private final Map<String, ReplicaState> replicas = new HashMap<>();
+  private final List<Work> waiting = new ArrayList<>();
+
+  /**
+   * Creates the dispatcher of a service.
+   *
+   * @param options the limits
+   * @param ownDataCentre the data centre of this router
+   * @param routers the number of routers of the fleet
+   * @param nanoTime the monotonic clock in nanoseconds
+   * @param random breaks ties and spreads returning callers
+   */
+  public ServiceDispatcher(
+      DispatchOptions options,
+      String ownDataCentre,
+      Supplier<Integer> routers,
+      LongSupplier nanoTime,
+      UniformRandomProvider random) {
+    this.options = options;
+    this.nanoTime = nanoTime;
+    this.random = random;
+    this.routers = routers;
+    this.promptChoice = new PromptChoice(options, nanoTime);
+    this.leastLoadChoice = new LeastLoadChoice(options, ownDataCentre, nanoTime, random);
+  }
+
+  /** Takes a replica into use, or takes over its latest record. */
+  public void addReplica(Replica replica) {
+    ReplicaState known = replicas.get(replica.id());
+    if (known != null && known.replica().sameIncarnation(replica)) {
+      known.update(replica);
+    } else {
+      replicas.put(replica.id(), new ReplicaState(replica, new ReplicaHealth(nanoTime)));
+    }
+    placeWaiting();
+  }
+
+  /** Gives a replica no new work any more. */
+  public void removeReplica(Replica replica) {
+    ReplicaState known = replicas.get(replica.id());
+    if (known != null && known.replica().sameIncarnation(replica)) {
+      replicas.remove(replica.id());
+    }
+  }
+
+  /** Returns whether a replica still gets new work. */
+  public boolean uses(ReplicaState state) {
+    return replicas.get(state.replica().id()) == state;
+  }
+
+  /** Returns the replicas in use. */
+  public List<ReplicaState> replicas() {
+    return List.copyOf(replicas.values());
+  }
+
+  /** Returns the number of requests that wait. */
+  public int waiting() {
+    return waiting.size();
+  }
+
+  /** Returns the number of routers that share the replicas. */
+  public int routers() {
+    return routers.get();
+  }
+
+  /** Places a request, or lets it wait. */
+  public void submit(Work work) {
+    ReplicaState chosen = choose(work);
+    if (chosen != null) {
+      place(work, chosen);
+    } else if (nanoTime.getAsLong() >= waitEndNanos(work)) {
+      work.onTurnedAway(refusal(work));
+    } else {
+      enqueue(work);
+    }
+  }
+
+  /** Forgets a request that waits; its callbacks are not called any more. */
+  public void withdraw(Work work) {
+    waiting.remove(work);
+  }
+
+  /** Takes note that a replica no longer works on a request. */
+  public void release(ReplicaState replica) {
+    replica.vacate();
+    placeWaiting();
+  }
+
+  /** Takes a replica's own count of its requests. */
+  public void reported(ReplicaState replica, LoadReport report) {
+    replica.reported(report, nanoTime.getAsLong());
+  }
+
+  /** Places waiting requests where possible and turns those away that have waited too long. */
+  public void placeWaiting() {
+    if (waiting.isEmpty()) {
+      return;
+    }
+    long now = nanoTime.getAsLong();
+    List<Work> candidates = new ArrayList<>(waiting);
+    for (Work work : candidates) {
+      ReplicaState chosen = choose(work);
+      if (chosen != null && waiting.remove(work)) {
+        place(work, chosen);
+      } else if (chosen == null && now >= waitEndNanos(work) && waiting.remove(work)) {
+        work.onTurnedAway(refusal(work));
+      }
+    }
+  }
+
+  private void enqueue(Work work) {
+    int position = waiting.size();
+    while (position > 0 && ORDER.compare(work, waiting.get(position - 1)) < 0) {
+      position--;
+    }
+    waiting.add(position, work);
+    if (waiting.size() > WAITING_MAX) {
+      Work last = waiting.remove(waiting.size() - 1);
+      last.onTurnedAway(refusal(last));
+    }
+  }
+
+  private void place(Work work, ReplicaState replica) {
+    replica.occupy(work, nanoTime.getAsLong());
+    work.onPlaced(replica);
+  }
+
+  private @Nullable ReplicaState choose(Work work) {
+    ReplicaChoice choice = work.description().prompt().isEmpty() ? leastLoadChoice : promptChoice;
+    return choice.choose(work, replicas.values());
+  }
+
+  private long waitEndNanos(Work work) {
+    long waitMaxNanos = (long) (work.goalNanos() * options.waitGoalShare());
+    return Math.min(work.deadlineNanos(), work.arrivedNanos() + waitMaxNanos);
+  }
+
+  private Refusal refusal(Work work) {
+    Refusal.Reason reason =
+        replicas.isEmpty() ? Refusal.Reason.NO_REPLICA : Refusal.Reason.NO_CAPACITY;
+    return new Refusal(reason, retryAfter());
+  }
+
+  /** Returns a time after which a caller that was refused may find a place. */
+  public Duration retryAfter() {
+    return RETRY_AFTER_MIN.plusNanos((long) (RETRY_AFTER_SPREAD.toNanos() * random.nextDouble()));
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
@@ -0,0 +1,81 @@
+package org.coltsfootvale.core.dispatch;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.coltsfootvale.core.course.RequestDescription;
+
+/**
+ * A request that asks for a replica. Its callbacks are called at most once for each time it is
+ * submitted. Confined to one thread.
+ */
+public abstract class Work {
+
+  private final RequestDescription description;
+  private final int urgency;
+  private final long arrivedNanos;
+  private final long deadlineNanos;
+  private final long goalNanos;
+  private final Set<String> triedReplicas = new HashSet<>();
+
+  /**
+   * Creates the work of a request.
+   *
+   * @param description what the request tells of itself
+   * @param urgency its rank, 0 is the most urgent
+   * @param arrivedNanos when it arrived, on the monotonic clock
+   * @param deadlineNanos when it is too late for an answer, on the monotonic clock
+   * @param goalNanos the time from its arrival within which its answer is on time
+   */
+  protected Work(
+      RequestDescription description,
+      int urgency,
+      long arrivedNanos,
+      long deadlineNanos,
+      long goalNanos) {
+    this.description = description;
+    this.urgency = urgency;
+    this.arrivedNanos = arrivedNanos;
+    this.deadlineNanos = deadlineNanos;
+    this.goalNanos = goalNanos;
+  }
+
+  /** Takes the replica that the request is to be sent to; the slot is already counted. */
+  protected abstract void onPlaced(ReplicaState replica);
+
+  /** Takes note that no replica takes the request in time. */
+  protected abstract void onTurnedAway(Refusal refusal);
+
+  /** Returns what the request tells of itself. */
+  public final RequestDescription description() {
+    return description;
+  }
+
+  /** Returns the rank, 0 is the most urgent. */
+  public final int urgency() {
+    return urgency;
+  }
+
+  /** Returns when it is too late for an answer, on the monotonic clock. */
+  public final long deadlineNanos() {
+    return deadlineNanos;
+  }
+
+  /** Returns when the request arrived, on the monotonic clock. */
+  public final long arrivedNanos() {
+    return arrivedNanos;
+  }
+
+  /** Returns the time from the arrival within which the answer is on time. */
+  public final long goalNanos() {
+    return goalNanos;
+  }
+
+  /** Takes note that a replica is not to be picked again. */
+  public final void avoid(String replicaId) {
+    triedReplicas.add(replicaId);
+  }
+
+  final boolean avoids(ReplicaState replica) {
+    return triedReplicas.contains(replica.replica().id());
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterAdvertisement.java
@@ -0,0 +1,52 @@
+package org.coltsfootvale.core.registry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.Optional;
+import org.coltsfootvale.core.model.HostPort;
+
+/**
+ * What a router tells the others of itself.
+ *
+ * @param id its name
+ * @param dataCentre where it runs
+ * @param callerAddress where callers connect
+ * @param peerAddress where other routers connect
+ */
+public record RouterAdvertisement(
+    String id, String dataCentre, HostPort callerAddress, HostPort peerAddress) {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** Writes the advertisement as JSON. */
+  public byte[] encode() {
+    try {
+      return MAPPER.writeValueAsBytes(
+          MAPPER
+              .createObjectNode()
+              .put("id", id)
+              .put("dataCentre", dataCentre)
+              .put("callerAddress", callerAddress.toString())
+              .put("peerAddress", peerAddress.toString()));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("an advertisement could not be written", e);
+    }
+  }
+
+  /** Reads an advertisement; empty if the bytes hold none. */
+  public static Optional<RouterAdvertisement> decode(byte[] bytes) {
+    try {
+      JsonNode tree = MAPPER.readTree(bytes);
+      return Optional.of(
+          new RouterAdvertisement(
+              tree.path("id").asText(),
+              tree.path("dataCentre").asText(),
+              HostPort.parse(tree.path("callerAddress").asText()),
+              HostPort.parse(tree.path("peerAddress").asText())));
+    } catch (IOException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
@@ -0,0 +1,83 @@
+package org.coltsfootvale.core.registry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.store.LapsingTable;
+import org.coltsfootvale.core.store.PrefixFollower;
+import org.coltsfootvale.core.store.StoreEntry;
+
+/** The live routers by their advertisements. Confined to one thread. */
+public final class RouterRegistry implements PrefixFollower.Listener {
+
+  /** The prefix of the keys under which routers advertise themselves. */
+  public static final String PREFIX = "coltsfootvale/routers/";
+
+  private final RouterAdvertisement self;
+  private final LapsingTable<RouterAdvertisement> routers;
+
+  /**
+   * Creates a registry that knows only this router.
+   *
+   * @param self this router
+   * @param lapseGrace how long after the store's return an entry that lapsed may still come back
+   * @param nanoTime the monotonic clock in nanoseconds
+   */
+  public RouterRegistry(RouterAdvertisement self, Duration lapseGrace, LongSupplier nanoTime) {
+    this.self = self;
+    this.routers = new LapsingTable<>(lapseGrace, nanoTime, (key, router) -> {});
+  }
+
+  @Override
+  public void onReading(List<StoreEntry> entries) {
+    Set<String> present = new HashSet<>();
+    for (StoreEntry entry : entries) {
+      present.add(entry.key());
+      onChange(entry);
+    }
+    routers.missingIn(present).forEach(key -> routers.remove(key, false));
+  }
+
+  @Override
+  public void onChange(StoreEntry entry) {
+    entry
+        .value()
+        .flatMap(RouterAdvertisement::decode)
+        .ifPresentOrElse(
+            router -> routers.put(entry.key(), router), () -> routers.remove(entry.key(), false));
+  }
+
+  @Override
+  public void onStoreReturned() {
+    routers.storeReturned();
+  }
+
+  /** Drops lapsed entries whose grace period has ended. */
+  public void expire() {
+    routers.expire();
+  }
+
+  /** Returns the number of live routers, this one included; at least 1. */
+  public int size() {
+    return routers().size();
+  }
+
+  /** Returns the live routers, this one included. */
+  public List<RouterAdvertisement> routers() {
+    List<RouterAdvertisement> all = new ArrayList<>(routers.all());
+    if (all.stream().noneMatch(router -> router.id().equals(self.id()))) {
+      all.add(self);
+    }
+    all.sort(Comparator.comparing(RouterAdvertisement::id));
+    return all;
+  }
+
+  /** Returns the other live routers. */
+  public List<RouterAdvertisement> peers() {
+    return routers().stream().filter(router -> !router.id().equals(self.id())).toList();
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/Replica.java
@@ -0,0 +1,33 @@
+package org.coltsfootvale.core.replica;
+
+import org.coltsfootvale.core.model.HostPort;
+
+/**
+ * One start of a backend server.
+ *
+ * @param id the name that the server registered under
+ * @param bornMillis the time of its start in Unix milliseconds; a restart under the same id has
+ *     another one
+ * @param service the service that it belongs to
+ * @param address where it accepts requests
+ * @param dataCentre where it runs
+ * @param slots how many requests it processes at once
+ * @param leaving whether it has announced its departure
+ */
+public record Replica(
+    String id,
+    long bornMillis,
+    String service,
+    HostPort address,
+    String dataCentre,
+    int slots,
+    boolean leaving) {
+
+  /** Returns whether another record tells of the same start of the same server. */
+  public boolean sameIncarnation(Replica other) {
+    return id.equals(other.id)
+        && bornMillis == other.bornMillis
+        && address.equals(other.address)
+        && service.equals(other.service);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/ReplicaTable.java
@@ -0,0 +1,86 @@
+package org.coltsfootvale.core.replica;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.store.LapsingTable;
+
+/** The replicas that this router believes in. Confined to one thread. */
+public final class ReplicaTable {
+
+  /** Hears of replicas that come, change and go. */
+  public interface Listener {
+
+    /** Tells that a replica may be used, or that its record has changed. */
+    void onReplica(Replica replica);
+
+    /** Tells that a replica gets no new work any more. */
+    void onDeparture(Replica replica);
+  }
+
+  private final Listener listener;
+  private final LapsingTable<Replica> table;
+
+  /**
+   * Creates an empty table.
+   *
+   * @param lapseGrace how long after the store's return an entry that lapsed may still come back
+   * @param nanoTime the monotonic clock in nanoseconds
+   * @param listener hears of changes
+   */
+  public ReplicaTable(Duration lapseGrace, LongSupplier nanoTime, Listener listener) {
+    this.listener = listener;
+    this.table =
+        new LapsingTable<>(lapseGrace, nanoTime, (id, replica) -> listener.onDeparture(replica));
+  }
+
+  /** Takes note that the store was out of reach until now, so that entries may have lapsed. */
+  public void storeReturned() {
+    table.storeReturned();
+  }
+
+  /** Takes an entry as the store holds it. */
+  public void put(Replica replica) {
+    Optional<Replica> known = table.put(replica.id(), replica);
+    known.filter(before -> !before.sameIncarnation(replica)).ifPresent(listener::onDeparture);
+    if (replica.leaving()) {
+      listener.onDeparture(replica);
+    } else {
+      listener.onReplica(replica);
+    }
+  }
+
+  /** Takes note that an entry was deleted, or names no usable replica. */
+  public void remove(String id) {
+    boolean announced = table.find(id).map(Replica::leaving).orElse(false);
+    table.remove(id, announced);
+  }
+
+  /** Takes a whole reading of the store: replicas that it lacks are removed. */
+  public void replaceAll(List<Replica> entries) {
+    Set<String> present = new HashSet<>();
+    for (Replica replica : entries) {
+      present.add(replica.id());
+      put(replica);
+    }
+    table.missingIn(present).forEach(this::remove);
+  }
+
+  /** Drops the lapsed entries whose grace period has ended. */
+  public void expire() {
+    table.expire();
+  }
+
+  /** Returns the record of a replica. */
+  public Optional<Replica> find(String id) {
+    return table.find(id);
+  }
+
+  /** Returns all records, those of leaving replicas included. */
+  public List<Replica> all() {
+    return table.all();
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/routing/RoutingState.java
@@ -0,0 +1,102 @@
+package org.coltsfootvale.core.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the desired state. Immutable. */
+public final class RoutingState {
+
+  private final long version;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, RoutedService> services = new HashMap<>();
+  private final Map<String, Organisation> organisationsByKey;
+  private final boolean keysRequired;
+  private final CallerLimits limits;
+
+  /**
+   * Creates a version.
+   *
+   * @param version its number; later versions have greater numbers
+   * @param routes all routes
+   * @param services all services
+   * @param organisationsByKey the organisations by each of their keys
+   * @param keysRequired whether routes that are not anonymous need a key
+   * @param limits what callers may send
+   */
+  public RoutingState(
+      long version,
+      List<Route> routes,
+      List<RoutedService> services,
+      Map<String, Organisation> organisationsByKey,
+      boolean keysRequired,
+      CallerLimits limits) {
+    this.version = version;
+    this.organisationsByKey = Map.copyOf(organisationsByKey);
+    this.keysRequired = keysRequired;
+    this.limits = limits;
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+    }
+    for (List<Route> ofHost : routesByHost.values()) {
+      ofHost.sort(Comparator.comparingInt((Route route) -> route.prefix().length()).reversed());
+    }
+    services.forEach(service -> this.services.put(service.name(), service));
+  }
+
+  /** Returns the number of this version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns what callers may send. */
+  public CallerLimits limits() {
+    return limits;
+  }
+
+  /** Returns whether routes that are not anonymous need a key. */
+  public boolean keysRequired() {
+    return keysRequired;
+  }
+
+  /** Returns the organisation that holds a key. */
+  public Optional<Organisation> organisationOf(String key) {
+    return Optional.ofNullable(organisationsByKey.get(key));
+  }
+
+  /** Returns a service by its name. */
+  public Optional<RoutedService> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns the names of all services. */
+  public Iterable<String> serviceNames() {
+    return services.keySet();
+  }
+
+  /**
+   * Finds the route of a request: the one of the host with the longest prefix of the path.
+   *
+   * @param hostHeader the host as the caller sent it, possibly with a port
+   * @param target the request target; its query is ignored
+   */
+  public Optional<Route> route(String hostHeader, String target) {
+    List<Route> ofHost = routesByHost.get(hostName(hostHeader));
+    if (ofHost == null) {
+      return Optional.empty();
+    }
+    int query = target.indexOf('?');
+    String path = query < 0 ? target : target.substring(0, query);
+    return ofHost.stream().filter(route -> path.startsWith(route.prefix())).findFirst();
+  }
+
+  private static String hostName(String hostHeader) {
+    int colon = hostHeader.lastIndexOf(':');
+    String name = colon < 0 ? hostHeader : hostHeader.substring(0, colon);
+    return name.toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -0,0 +1,207 @@
+package org.coltsfootvale.core.store;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import org.coltsfootvale.core.error.Failures;
+import org.coltsfootvale.core.support.Service;
+
+/**
+ * Keeps up with all keys of a prefix: a whole reading first, and then one change after the other.
+ * When history is lost it reads everything anew. Failed calls are repeated with growing, random
+ * pauses, so that a fleet which starts together stays within the store's rates. Confined to one
+ * thread.
+ */
+public final class PrefixFollower implements Service {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** The longest wait of one call; the store allows 30 s, but a silent call must be noticed. */
+  private static final Duration WAIT = Duration.ofSeconds(5);
+
+  private static final Duration PAUSE_MIN = Duration.ofMillis(100);
+  private static final Duration PAUSE_MAX = Duration.ofMillis(800);
+
+  /** Hears of readings and changes. */
+  public interface Listener {
+
+    /** Takes all keys of the prefix. */
+    void onReading(List<StoreEntry> entries);
+
+    /** Takes one change. */
+    void onChange(StoreEntry entry);
+
+    /** Tells that the store answers again after calls have failed. */
+    void onStoreReturned();
+  }
+
+  private final RevisionedStore store;
+  private final String prefix;
+  private final Listener listener;
+  private final Scheduler scheduler;
+  private final DoubleSupplier random;
+  private final Map<String, Long> revisions = new HashMap<>();
+  private boolean running;
+  private long generation;
+  private int failuresInRow;
+  private boolean current;
+  private boolean everRead;
+
+  /**
+   * Creates a follower.
+   *
+   * @param store the store
+   * @param prefix the beginning of the keys
+   * @param listener hears of readings and changes
+   * @param scheduler runs the next call
+   * @param random gives numbers in [0, 1) that spread pauses
+   */
+  public PrefixFollower(
+      RevisionedStore store,
+      String prefix,
+      Listener listener,
+      Scheduler scheduler,
+      DoubleSupplier random) {
+    this.store = store;
+    this.prefix = prefix;
+    this.listener = listener;
+    this.scheduler = scheduler;
+    this.random = random;
+  }
+
+  @Override
+  public void start() {
+    running = true;
+    restart();
+  }
+
+  @Override
+  public void stop() {
+    running = false;
+    generation++;
+  }
+
+  /** Abandons the calls under way and reads everything anew, for example after a pause. */
+  public void restart() {
+    generation++;
+    current = false;
+    readPage(generation, "", new ArrayList<>(), Long.MAX_VALUE);
+  }
+
+  /** Returns whether a whole reading was ever taken. */
+  public boolean everRead() {
+    return everRead;
+  }
+
+  /** Returns whether a whole reading was taken and no call has failed since. */
+  public boolean current() {
+    return current && failuresInRow == 0;
+  }
+
+  private void readPage(long started, String afterKey, List<StoreEntry> read, long revision) {
+    if (stale(started)) {
+      return;
+    }
+    var unused =
+        store
+            .read(prefix, afterKey)
+            .whenComplete(
+                (page, failure) -> {
+                  if (stale(started)) {
+                    return;
+                  }
+                  if (failure != null) {
+                    failed(failure, () -> readPage(started, afterKey, read, revision));
+                  } else {
+                    pageRead(started, page, read, Math.min(revision, page.revision()));
+                  }
+                });
+  }
+
+  private void pageRead(long started, StorePage page, List<StoreEntry> read, long revision) {
+    succeeded();
+    read.addAll(page.entries());
+    if (!page.complete() && !page.entries().isEmpty()) {
+      readPage(started, page.entries().get(page.entries().size() - 1).key(), read, revision);
+      return;
+    }
+    current = true;
+    everRead = true;
+    revisions.clear();
+    read.forEach(entry -> revisions.put(entry.key(), entry.revision()));
+    listener.onReading(read);
+    awaitChanges(started, revision);
+  }
+
+  private void awaitChanges(long started, long revision) {
+    if (stale(started)) {
+      return;
+    }
+    var unused =
+        store
+            .awaitChanges(prefix, revision, WAIT)
+            .whenComplete(
+                (changes, failure) -> {
+                  if (stale(started)) {
+                    return;
+                  }
+                  if (failure != null) {
+                    changesFailed(started, revision, failure);
+                  } else {
+                    succeeded();
+                    changes.entries().forEach(this::changed);
+                    awaitChanges(started, changes.revision());
+                  }
+                });
+  }
+
+  /** Pages are read one after the other, so a change may be older than what a later page held. */
+  private void changed(StoreEntry entry) {
+    if (entry.revision() <= revisions.getOrDefault(entry.key(), 0L)) {
+      return;
+    }
+    revisions.put(entry.key(), entry.revision());
+    listener.onChange(entry);
+  }
+
+  private void changesFailed(long started, long revision, Throwable failure) {
+    if (Failures.unwrap(failure) instanceof StoreException known
+        && known.fault() == StoreException.Fault.HISTORY_GONE) {
+      LOGGER.atInfo().log("history of %s is gone; reading it anew", prefix);
+      restart();
+      return;
+    }
+    failed(failure, () -> awaitChanges(started, revision));
+  }
+
+  private void succeeded() {
+    if (failuresInRow > 0) {
+      failuresInRow = 0;
+      LOGGER.atInfo().log("store answers again for %s", prefix);
+      listener.onStoreReturned();
+    }
+  }
+
+  private void failed(Throwable failure, Runnable again) {
+    if (failuresInRow == 0) {
+      LOGGER.atWarning().log(
+          "store call for %s failed, serving on from what is known: %s",
+          prefix, Failures.unwrap(failure).getMessage());
+    }
+    Duration ceiling = PAUSE_MIN.multipliedBy(1L << Math.min(failuresInRow, 6));
+    if (ceiling.compareTo(PAUSE_MAX) > 0) {
+      ceiling = PAUSE_MAX;
+    }
+    failuresInRow++;
+    long pauseNanos = (long) (ceiling.toNanos() * (0.5 + 0.5 * random.getAsDouble()));
+    scheduler.schedule(Duration.ofNanos(pauseNanos), again);
+  }
+
+  private boolean stale(long started) {
+    return !running || started != generation;
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/RevisionedStore.java
@@ -0,0 +1,44 @@
+package org.coltsfootvale.core.store;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The calls of the store that the serving path needs. Futures fail with {@link StoreException};
+ * they complete on the thread that the store's client is confined to.
+ */
+public interface RevisionedStore {
+
+  /**
+   * Reads one page of the keys with a prefix.
+   *
+   * @param prefix the beginning of the keys
+   * @param afterKey the key after which the page begins, or an empty text for the first page
+   */
+  CompletableFuture<StorePage> read(String prefix, String afterKey);
+
+  /**
+   * Waits for changes of the keys with a prefix.
+   *
+   * @param prefix the beginning of the keys
+   * @param afterRevision the revision after which changes are told
+   * @param wait the longest time to wait for a change
+   */
+  CompletableFuture<StoreChanges> awaitChanges(String prefix, long afterRevision, Duration wait);
+
+  /**
+   * Writes a key that is bound to a lease, whether it exists or not.
+   *
+   * @return the revision of the write
+   */
+  CompletableFuture<Long> put(String key, byte[] value, long leaseId);
+
+  /** Grants a lease and returns its id. */
+  CompletableFuture<Long> grantLease(Duration timeToLive);
+
+  /** Renews a lease. */
+  CompletableFuture<Void> renewLease(long leaseId);
+
+  /** Ends a lease and deletes its keys. */
+  CompletableFuture<Void> endLease(long leaseId);
+}
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/StorePage.java
@@ -0,0 +1,18 @@
+package org.coltsfootvale.core.store;
+
+import java.util.List;
+
+/**
+ * A part of a reading of all keys with a prefix. Pages are not a snapshot.
+ *
+ * @param entries the keys in ascending order
+ * @param complete whether no further page follows
+ * @param revision the store's revision when the page was read
+ */
+public record StorePage(List<StoreEntry> entries, boolean complete, long revision) {
+
+  /** Copies the list. */
+  public StorePage {
+    entries = List.copyOf(entries);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpCaller.java
@@ -0,0 +1,193 @@
+package org.coltsfootvale.router.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootvale.core.model.HostPort;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Makes plain calls to one address and keeps its connections for the next call. A connection on
+ * which a call went unanswered is closed. Confined to the serving loop.
+ */
+public final class HttpCaller {
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int BODY_BYTES_MAX = 8 * 1024 * 1024;
+
+  private final ServingLoop loop;
+  private final HostPort address;
+  private final Deque<Channel> idle = new ArrayDeque<>();
+
+  /** Creates a caller of an address. */
+  public HttpCaller(ServingLoop loop, HostPort address) {
+    this.loop = loop;
+    this.address = address;
+  }
+
+  /**
+   * Makes a call; must be called on the serving loop.
+   *
+   * @param method the HTTP method
+   * @param target path and query
+   * @param body the JSON body, empty for none
+   * @param timeout how long to wait for the answer
+   * @return fails with an {@link IOException} if there is no answer
+   */
+  public CompletableFuture<HttpReply> call(
+      String method, String target, byte[] body, Duration timeout) {
+    CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+    FullHttpRequest request = request(method, target, body);
+    Channel kept = takeIdle();
+    if (kept != null) {
+      send(kept, request, reply);
+    } else {
+      connect(request, reply);
+    }
+    var timer =
+        loop.eventLoop()
+            .schedule(
+                () -> reply.completeExceptionally(noAnswer(method, target, "timed out")),
+                timeout.toMillis(),
+                TimeUnit.MILLISECONDS);
+    var unused = reply.whenComplete((answer, failure) -> timer.cancel(false));
+    return reply;
+  }
+
+  private @Nullable Channel takeIdle() {
+    Channel channel = idle.pollLast();
+    while (channel != null && !channel.isActive()) {
+      channel = idle.pollLast();
+    }
+    return channel;
+  }
+
+  private void connect(FullHttpRequest request, CompletableFuture<HttpReply> reply) {
+    Bootstrap bootstrap =
+        KeepAliveProbes.on(new Bootstrap())
+            .group(loop.eventLoop())
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel.pipeline().addLast(new HttpClientCodec());
+                    channel.pipeline().addLast(new HttpObjectAggregator(BODY_BYTES_MAX));
+                    channel.pipeline().addLast(new ReplyHandler());
+                  }
+                });
+    ChannelFuture connecting =
+        bootstrap.connect(new InetSocketAddress(address.host(), address.port()));
+    var unused =
+        connecting.addListener(
+            done -> {
+              if (done.isSuccess()) {
+                send(connecting.channel(), request, reply);
+              } else {
+                request.release();
+                reply.completeExceptionally(done.cause());
+              }
+            });
+  }
+
+  private void send(Channel channel, FullHttpRequest request, CompletableFuture<HttpReply> reply) {
+    ReplyHandler handler = channel.pipeline().get(ReplyHandler.class);
+    handler.pending = reply;
+    var unused =
+        reply.whenComplete(
+            (answer, failure) -> {
+              if (failure != null) {
+                channel.close();
+              }
+            });
+    channel.writeAndFlush(request);
+  }
+
+  private FullHttpRequest request(String method, String target, byte[] body) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target, Unpooled.wrappedBuffer(body));
+    request.headers().set(HttpHeaderNames.HOST, address.toString());
+    if (body.length > 0) {
+      request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    }
+    HttpUtil.setContentLength(request, body.length);
+    return request;
+  }
+
+  private static IOException noAnswer(String method, String target, String what) {
+    return new IOException(method + " " + target + ": " + what);
+  }
+
+  /** Completes the call that a connection carries. */
+  private final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+    private @Nullable CompletableFuture<HttpReply> pending;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      CompletableFuture<HttpReply> reply = pending;
+      pending = null;
+      if (reply == null || !response.decoderResult().isSuccess()) {
+        context.close();
+        if (reply != null) {
+          reply.completeExceptionally(new IOException("the answer cannot be read"));
+        }
+        return;
+      }
+      byte[] body = new byte[response.content().readableBytes()];
+      response.content().readBytes(body);
+      if (HttpUtil.isKeepAlive(response) && !reply.isDone()) {
+        idle.addLast(context.channel());
+      } else {
+        context.close();
+      }
+      reply.complete(new HttpReply(response.status().code(), body));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      idle.remove(context.channel());
+      CompletableFuture<HttpReply> reply = pending;
+      pending = null;
+      if (reply != null) {
+        reply.completeExceptionally(new IOException("the connection was closed"));
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      CompletableFuture<HttpReply> reply = pending;
+      pending = null;
+      if (reply != null) {
+        reply.completeExceptionally(cause);
+      }
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpEndpoint.java
@@ -0,0 +1,12 @@
+package org.coltsfootvale.router.http;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+
+/** Answers small requests at once. */
+@FunctionalInterface
+public interface HttpEndpoint {
+
+  /** Returns the answer to a request. */
+  FullHttpResponse answer(FullHttpRequest request);
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaLinks.java
@@ -0,0 +1,142 @@
+package org.coltsfootvale.router.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.coltsfootvale.core.dispatch.ReplicaState;
+import org.jspecify.annotations.Nullable;
+
+/** The connections to replicas, each kept for further requests. Confined to the serving loop. */
+public final class ReplicaLinks {
+
+  /** Long enough for a lost opening packet to be sent once more after a second. */
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_200;
+
+  /** How long an unused connection is kept if the replica announces nothing. */
+  private static final Duration IDLE_MAX = Duration.ofSeconds(3);
+
+  /** How fresh a kept connection must be for a request that must not be repeated. */
+  private static final Duration FRESH = Duration.ofSeconds(1);
+
+  private static final int HEAD_LINE_BYTES_MAX = 4_096;
+  private static final int HEAD_BYTES_MAX = 65_536;
+  private static final int CHUNK_BYTES_MAX = 65_536;
+
+  private final ServingLoop loop;
+  private final LongSupplier nanoTime;
+  private final Map<ReplicaState, Deque<ReplicaLink>> idle = new HashMap<>();
+
+  /** Creates an empty pool. */
+  public ReplicaLinks(ServingLoop loop, LongSupplier nanoTime) {
+    this.loop = loop;
+    this.nanoTime = nanoTime;
+  }
+
+  /**
+   * Takes a kept connection to a replica, the one that was used last.
+   *
+   * @param fresh whether only a connection that was just used will do
+   */
+  public @Nullable ReplicaLink take(ReplicaState replica, boolean fresh) {
+    Deque<ReplicaLink> kept = idle.get(replica);
+    if (kept == null) {
+      return null;
+    }
+    ReplicaLink link = kept.peekLast();
+    if (link == null || (fresh && link.idle().compareTo(FRESH) > 0)) {
+      return null;
+    }
+    kept.pollLast();
+    if (!link.active() || link.expired()) {
+      link.cancel();
+      return take(replica, fresh);
+    }
+    return link;
+  }
+
+  /** Opens a connection; the callback gets either the connection or the failure. */
+  public void connect(
+      ReplicaState replica, BiConsumer<@Nullable ReplicaLink, @Nullable Throwable> callback) {
+    ReplicaLink link =
+        new ReplicaLink(
+            IDLE_MAX,
+            nanoTime,
+            replica.health()::heard,
+            idleLink -> keep(replica, idleLink),
+            closed -> forget(replica, closed));
+    Bootstrap bootstrap =
+        KeepAliveProbes.on(new Bootstrap())
+            .group(loop.eventLoop())
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(
+                            new HttpClientCodec(
+                                HEAD_LINE_BYTES_MAX, HEAD_BYTES_MAX, CHUNK_BYTES_MAX));
+                    channel.pipeline().addLast(link);
+                  }
+                });
+    ChannelFuture connecting =
+        bootstrap.connect(
+            new InetSocketAddress(
+                replica.replica().address().host(), replica.replica().address().port()));
+    var unused =
+        connecting.addListener(
+            done -> {
+              if (done.isSuccess()) {
+                callback.accept(link, null);
+              } else {
+                callback.accept(null, done.cause());
+              }
+            });
+  }
+
+  /** Closes connections that have been unused for too long, and those to replicas not in use. */
+  public void sweep(Predicate<ReplicaState> inUse) {
+    Iterator<Map.Entry<ReplicaState, Deque<ReplicaLink>>> entries = idle.entrySet().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<ReplicaState, Deque<ReplicaLink>> entry = entries.next();
+      boolean used = inUse.test(entry.getKey());
+      for (ReplicaLink link : new ArrayDeque<>(entry.getValue())) {
+        if (!used || link.expired()) {
+          entry.getValue().remove(link);
+          link.cancel();
+        }
+      }
+      if (entry.getValue().isEmpty()) {
+        entries.remove();
+      }
+    }
+  }
+
+  private void keep(ReplicaState replica, ReplicaLink link) {
+    idle.computeIfAbsent(replica, state -> new ArrayDeque<>()).addLast(link);
+  }
+
+  private void forget(ReplicaState replica, ReplicaLink link) {
+    Deque<ReplicaLink> kept = idle.get(replica);
+    if (kept != null) {
+      kept.remove(link);
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
@@ -0,0 +1,71 @@
+package org.coltsfootvale.router.http;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootvale.core.store.Scheduler;
+import org.coltsfootvale.core.support.Service;
+
+/**
+ * The one thread that serves all sockets of a router. The hosts give a router less than one core,
+ * so more threads would only take turns; what is confined to this thread needs no locks.
+ */
+public final class ServingLoop implements Service, Scheduler {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final long STOP_TIMEOUT_MILLIS = 200;
+
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(
+          1, new DefaultThreadFactory("serving"), NioIoHandler.newFactory());
+
+  /** Creates the loop; its thread starts with its first task. */
+  public ServingLoop() {}
+
+  @Override
+  public void start() {}
+
+  @Override
+  public void stop() {
+    group
+        .shutdownGracefully(0, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
+  }
+
+  /** Returns the event loop for channels. */
+  public EventLoop eventLoop() {
+    return (EventLoop) group.next();
+  }
+
+  /** Runs a task on the thread of the loop. */
+  public void execute(Runnable task) {
+    eventLoop().execute(guarded(task));
+  }
+
+  @Override
+  public void schedule(Duration delay, Runnable task) {
+    var unused = eventLoop().schedule(guarded(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  /** Runs a task again and again, with a fixed pause between two runs. */
+  public void every(Duration pause, Runnable task) {
+    var unused =
+        eventLoop()
+            .scheduleWithFixedDelay(
+                guarded(task), pause.toNanos(), pause.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        LOGGER.atSevere().withCause(e).log("a task of the serving loop failed; see the cause");
+      }
+    };
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerTraits.java
@@ -0,0 +1,21 @@
+package org.coltsfootvale.router.serving;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.coltsfootvale.core.dispatch.LoadReport;
+
+/**
+ * What the head of a replica's answer tells besides its status.
+ *
+ * @param requestId the request that it answers, if it says so
+ * @param genuine whether it bears the replica's signature and its body is the replica's own
+ * @param notRun whether the replica states that it did not run the request and never will
+ * @param load the replica's count of its requests
+ * @param keepAlive how long the replica keeps an unused connection, if it says so
+ */
+public record AnswerTraits(
+    Optional<String> requestId,
+    boolean genuine,
+    boolean notRun,
+    Optional<LoadReport> load,
+    Optional<Duration> keepAlive) {}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
@@ -0,0 +1,298 @@
+package org.coltsfootvale.router.serving;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A caller's connection: reads one request after the other and writes their answers in order.
+ * Requests that are sent ahead wait until the one before has its answer.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** How many messages of requests sent ahead are held before reading stops. */
+  private static final int AHEAD_MAX = 64;
+
+  /** How long a caller may take to read a refusal while it is still sending. */
+  private static final long LINGER_MILLIS = 1_000;
+
+  private final RequestStarter starter;
+  private final ServingState state;
+  private final LongSupplier nanoTime;
+  private final Deque<HttpObject> ahead = new ArrayDeque<>();
+  private @Nullable ChannelHandlerContext context;
+  private @Nullable IncomingBody incoming;
+  private @Nullable Exchange exchange;
+  private boolean headExpected = true;
+  private boolean closing;
+  private boolean keepAlive;
+  private long quietSinceNanos;
+
+  CallerConnection(RequestStarter starter, ServingState state, LongSupplier nanoTime) {
+    this.starter = starter;
+    this.state = state;
+    this.nanoTime = nanoTime;
+    this.quietSinceNanos = nanoTime.getAsLong();
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext reading, Object message) {
+    HttpObject object = (HttpObject) message;
+    if (closing) {
+      ReferenceCountUtil.release(object);
+    } else if (exchange != null || !ahead.isEmpty()) {
+      ahead.addLast(object);
+      if (ahead.size() >= AHEAD_MAX) {
+        reading.channel().config().setAutoRead(false);
+      }
+    } else {
+      take(object);
+    }
+  }
+
+  private void take(HttpObject object) {
+    try {
+      quietSinceNanos = nanoTime.getAsLong();
+      if (object.decoderResult().isFailure()) {
+        rejectMalformed(object.decoderResult().cause());
+        return;
+      }
+      if (object instanceof HttpRequest head) {
+        begin(head);
+      }
+      if (object instanceof HttpContent content && incoming != null) {
+        append(incoming, content);
+      }
+    } finally {
+      ReferenceCountUtil.release(object);
+    }
+  }
+
+  private void begin(HttpRequest head) {
+    headExpected = false;
+    keepAlive = HttpUtil.isKeepAlive(head);
+    if (ambiguousFraming(head)) {
+      endEarly(HttpResponseStatus.BAD_REQUEST);
+      return;
+    }
+    incoming = new IncomingBody(head, starter.bodyBytesMax(), nanoTime.getAsLong());
+    if (HttpUtil.is100ContinueExpected(head)) {
+      context()
+          .writeAndFlush(
+              new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
+  /** Refuses what another reader might cut into requests differently. */
+  private static boolean ambiguousFraming(HttpRequest head) {
+    boolean chunked = head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+    int lengths = head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size();
+    return (chunked && lengths > 0)
+        || lengths > 1
+        || (chunked && !HttpUtil.isTransferEncodingChunked(head))
+        || head.headers().getAll(HttpHeaderNames.HOST).size() != 1;
+  }
+
+  private void append(IncomingBody body, HttpContent content) {
+    if (!body.append(content.content())) {
+      endEarly(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      return;
+    }
+    if (content instanceof LastHttpContent) {
+      incoming = null;
+      exchange = starter.start(this, body);
+    }
+  }
+
+  private void rejectMalformed(Throwable cause) {
+    boolean tooLong =
+        cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+    endEarly(
+        tooLong
+            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            : HttpResponseStatus.BAD_REQUEST);
+  }
+
+  /** Answers a request that is not read to its end, and closes the connection. */
+  private void endEarly(HttpResponseStatus status) {
+    if (incoming != null) {
+      incoming.release();
+      incoming = null;
+    }
+    closing = true;
+    FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+    HttpUtil.setContentLength(response, 0);
+    HttpUtil.setKeepAlive(response, false);
+    var unused =
+        context()
+            .writeAndFlush(response)
+            .addListener(
+                written -> {
+                  ((SocketChannel) context().channel()).shutdownOutput();
+                  var timer =
+                      context()
+                          .executor()
+                          .schedule(() -> context().close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+                });
+  }
+
+  /** Writes the head of an answer whose body follows in parts. */
+  void writeHead(HttpResponse head) {
+    HttpUtil.setKeepAlive(head, keepsAlive());
+    context().write(head);
+  }
+
+  /** Writes a part of a body. */
+  void writeContent(ByteBuf content) {
+    context().writeAndFlush(new DefaultHttpContent(content));
+  }
+
+  /** Ends an answer that was written in parts. */
+  void writeEnd() {
+    finish(LastHttpContent.EMPTY_LAST_CONTENT);
+  }
+
+  /** Writes a whole answer. */
+  void writeWhole(FullHttpResponse response) {
+    HttpUtil.setKeepAlive(response, keepsAlive());
+    finish(response);
+  }
+
+  /** Ends the connection in the midst of an answer, so that it cannot be taken for a whole one. */
+  void breakOff() {
+    exchange = null;
+    closing = true;
+    context().close();
+  }
+
+  /** Returns whether the caller reads as fast as answers are written. */
+  boolean writable() {
+    return context().channel().isWritable();
+  }
+
+  private void finish(Object last) {
+    boolean stays = keepsAlive();
+    exchange = null;
+    headExpected = true;
+    quietSinceNanos = nanoTime.getAsLong();
+    var written = context().writeAndFlush(last);
+    if (!stays) {
+      closing = true;
+      var unused = written.addListener(ChannelFutureListener.CLOSE);
+      return;
+    }
+    context().channel().config().setAutoRead(true);
+    if (!ahead.isEmpty()) {
+      context().executor().execute(this::takeAhead);
+    }
+  }
+
+  private void takeAhead() {
+    while (exchange == null && !ahead.isEmpty() && !closing) {
+      take(ahead.pollFirst());
+    }
+  }
+
+  private boolean keepsAlive() {
+    return keepAlive && !state.draining();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext changed) {
+    if (exchange != null) {
+      exchange.onCallerWritable(changed.channel().isWritable());
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext inactive) {
+    closing = true;
+    ahead.forEach(ReferenceCountUtil::release);
+    ahead.clear();
+    if (incoming != null) {
+      incoming.release();
+      incoming = null;
+    }
+    Exchange running = exchange;
+    exchange = null;
+    if (running != null) {
+      running.onCallerGone();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      LOGGER.atWarning().withCause(cause).log("a caller's connection failed; closing it");
+    }
+    failed.close();
+  }
+
+  /** Closes the connection if the caller has been idle, or has been sending, for too long. */
+  void checkTimeouts(long idleMaxNanos, long headMaxNanos) {
+    if (exchange != null || closing) {
+      return;
+    }
+    long quietNanos = nanoTime.getAsLong() - quietSinceNanos;
+    if (!headExpected && quietNanos > headMaxNanos) {
+      endEarly(HttpResponseStatus.REQUEST_TIMEOUT);
+    } else if (headExpected && quietNanos > idleMaxNanos) {
+      closing = true;
+      context().close();
+    }
+  }
+
+  /** Closes the connection if no request is in progress on it. */
+  void closeIfIdle() {
+    if (exchange == null && incoming == null && headExpected) {
+      closing = true;
+      context().close();
+    }
+  }
+
+  private ChannelHandlerContext context() {
+    ChannelHandlerContext added = context;
+    if (added == null) {
+      throw new IllegalStateException("the handler has not been added to a pipeline");
+    }
+    return added;
+  }
+
+  /** Copies a buffer into one of its own size. */
+  static ByteBuf copy(ByteBuf content) {
+    return Unpooled.wrappedBuffer(ByteBufUtil.getBytes(content));
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerListener.java
@@ -0,0 +1,90 @@
+package org.coltsfootvale.router.serving;
+
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.time.Duration;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.routing.CallerLimits;
+import org.coltsfootvale.core.support.Service;
+import org.coltsfootvale.router.http.HttpListener;
+import org.coltsfootvale.router.http.ServingLoop;
+
+/** Accepts the connections of callers. */
+public final class CallerListener implements Service {
+
+  private static final int CHUNK_BYTES_MAX = 65_536;
+  private static final CallerLimits UNINFORMED =
+      new CallerLimits(16_384, 1024 * 1024, Duration.ofSeconds(3), Duration.ofSeconds(15));
+
+  private final HttpListener listener;
+  private final RequestStarter starter;
+  private final ServingState state;
+  private final LongSupplier nanoTime;
+  private final ChannelGroup connections;
+
+  /**
+   * Creates a listener.
+   *
+   * @param loop serves the connections
+   * @param address where callers connect
+   * @param starter starts their requests
+   * @param state what this router believes
+   * @param nanoTime the monotonic clock in nanoseconds
+   */
+  public CallerListener(
+      ServingLoop loop,
+      HostPort address,
+      RequestStarter starter,
+      ServingState state,
+      LongSupplier nanoTime) {
+    this.starter = starter;
+    this.state = state;
+    this.nanoTime = nanoTime;
+    this.listener = new HttpListener(loop, address, this::setUp);
+    this.connections = new DefaultChannelGroup(loop.eventLoop());
+  }
+
+  private void setUp(ChannelPipeline pipeline) {
+    int headerBytes = limits().headerBytesMax();
+    pipeline.addLast(new HttpServerCodec(headerBytes, headerBytes, CHUNK_BYTES_MAX));
+    pipeline.addLast(new CallerConnection(starter, state, nanoTime));
+    connections.add(pipeline.channel());
+  }
+
+  private CallerLimits limits() {
+    return state.routing().map(routing -> routing.limits()).orElse(UNINFORMED);
+  }
+
+  @Override
+  public void start() {
+    listener.start();
+  }
+
+  @Override
+  public void stop() {
+    listener.stop();
+    forEach(CallerConnection::closeIfIdle);
+  }
+
+  /** Closes connections on which callers have been idle or slow for too long. */
+  public void sweep() {
+    CallerLimits limits = limits();
+    long idleMaxNanos = limits.idleTimeout().toNanos();
+    long headMaxNanos = limits.headerTimeout().toNanos();
+    forEach(connection -> connection.checkTimeouts(idleMaxNanos, headMaxNanos));
+  }
+
+  private void forEach(Consumer<CallerConnection> action) {
+    connections.forEach(
+        channel -> {
+          CallerConnection connection = channel.pipeline().get(CallerConnection.class);
+          if (connection != null) {
+            action.accept(connection);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryAnswer.java
@@ -0,0 +1,19 @@
+package org.coltsfootvale.router.serving;
+
+import java.time.Duration;
+import java.util.List;
+import org.coltsfootvale.core.model.HostPort;
+
+/**
+ * The answer to a caller that asks which routers to use.
+ *
+ * @param routers where to connect; empty if this router knows none
+ * @param timeToLive how long the answer may be used
+ */
+public record EntryAnswer(List<HostPort> routers, Duration timeToLive) {
+
+  /** Copies the list. */
+  public EntryAnswer {
+    routers = List.copyOf(routers);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryPoints.java
@@ -0,0 +1,50 @@
+package org.coltsfootvale.router.serving;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.registry.RouterAdvertisement;
+import org.coltsfootvale.core.registry.RouterRegistry;
+
+/** Tells callers which routers to use. Confined to the serving loop. */
+public final class EntryPoints {
+
+  /**
+   * How long an answer is used. Callers may keep it three times as long, and a stopping router
+   * serves on for that time, so that it has to be short beside the time that a stop may take.
+   */
+  static final Duration TIME_TO_LIVE = Duration.ofSeconds(1);
+
+  /** The longest list that callers take. */
+  private static final int ROUTERS_MAX = 64;
+
+  /** Below this number of routers in a caller's data centre it is given those of all. */
+  private static final int LOCAL_MIN = 8;
+
+  private final RouterRegistry registry;
+  private final BooleanSupplier ready;
+
+  EntryPoints(RouterRegistry registry, BooleanSupplier ready) {
+    this.registry = registry;
+    this.ready = ready;
+  }
+
+  /** Returns whether this router takes new callers. */
+  public boolean ready() {
+    return ready.getAsBoolean();
+  }
+
+  /** Returns the routers for a caller in a data centre. */
+  public EntryAnswer forCallerIn(String dataCentre) {
+    List<RouterAdvertisement> live =
+        new ArrayList<>(ready() ? registry.routers() : registry.peers());
+    List<RouterAdvertisement> local =
+        live.stream().filter(router -> router.dataCentre().equals(dataCentre)).toList();
+    List<RouterAdvertisement> chosen = local.size() >= LOCAL_MIN ? local : live;
+    List<HostPort> addresses =
+        chosen.stream().limit(ROUTERS_MAX).map(RouterAdvertisement::callerAddress).toList();
+    return new EntryAnswer(addresses, TIME_TO_LIVE);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -0,0 +1,215 @@
+package org.coltsfootvale.router.serving;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.coltsfootvale.core.course.DefaultRepeatBudget;
+import org.coltsfootvale.core.course.RepeatBudget;
+import org.coltsfootvale.core.dispatch.DispatchOptions;
+import org.coltsfootvale.core.registry.LeaseKeeper;
+import org.coltsfootvale.core.registry.RouterAdvertisement;
+import org.coltsfootvale.core.registry.RouterRegistry;
+import org.coltsfootvale.core.replica.ReplicaTable;
+import org.coltsfootvale.core.store.PrefixFollower;
+import org.coltsfootvale.core.store.RevisionedStore;
+import org.coltsfootvale.core.support.Service;
+import org.coltsfootvale.router.http.HttpListener;
+import org.coltsfootvale.router.http.ReplicaLinks;
+import org.coltsfootvale.router.http.ServingLoop;
+
+/**
+ * A router at the entry of a deployment whose desired state, replicas and fleet are kept in a
+ * store. All its parts are confined to the serving loop.
+ */
+public final class EntryRouter implements Service {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** Entries that lapsed during an outage of the store are back within about two seconds. */
+  private static final Duration LAPSE_GRACE = Duration.ofMillis(2_200);
+
+  /** How long a router that has died without notice stays in the answers to callers. */
+  private static final Duration ADVERTISEMENT_LIFE = Duration.ofSeconds(3);
+
+  private static final Duration TICK = Duration.ofMillis(20);
+  private static final Duration SWEEP = Duration.ofMillis(250);
+
+  /** How often callers may keep an answer beyond its time to live. */
+  private static final int ANSWER_LIVES = 3;
+
+  private static final Duration STOP_SLACK = Duration.ofMillis(300);
+
+  private final EntrySettings settings;
+  private final ServingLoop loop;
+  private final LongSupplier nanoTime = System::nanoTime;
+  private final ServingState state;
+  private final ReplicaTable replicas;
+  private final RouterRegistry registry;
+  private final ReplicaLinks links;
+  private final CallerListener callers;
+  private final PrefixFollower desiredState;
+  private final PrefixFollower replicaEntries;
+  private final PrefixFollower routerEntries;
+  private final LeaseKeeper advertisement;
+  private final PauseWatch pauseWatch;
+  private final List<HttpListener> smallListeners;
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private boolean advertised;
+  private long stopBegunNanos;
+
+  /**
+   * Creates a router.
+   *
+   * @param settings its addresses and limits
+   * @param loop the thread that serves all its sockets
+   * @param store the platform's store
+   * @param protocol the headers of callers and replicas
+   * @param formats the formats of what is kept in the store
+   */
+  public EntryRouter(
+      EntrySettings settings,
+      ServingLoop loop,
+      RevisionedStore store,
+      CallerProtocol protocol,
+      EntryFormats formats) {
+    this.settings = settings;
+    this.loop = loop;
+    UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
+    RouterAdvertisement self =
+        new RouterAdvertisement(
+            settings.id(), settings.dataCentre(), settings.callerAddress(), settings.peerAddress());
+    registry = new RouterRegistry(self, LAPSE_GRACE, nanoTime);
+    state =
+        new ServingState(
+            DispatchOptions.defaults(), settings.dataCentre(), registry::size, nanoTime, random);
+    replicas = new ReplicaTable(LAPSE_GRACE, nanoTime, state);
+    links = new ReplicaLinks(loop, nanoTime);
+    RepeatBudget budget =
+        new DefaultRepeatBudget(
+            settings.repeatRatio(),
+            settings.repeatAllowance(),
+            settings.repeatWindow(),
+            () -> 1.0 / registry.size(),
+            nanoTime);
+    RequestStarter starter = new RequestStarter(state, protocol, budget, links, loop, nanoTime);
+    callers = new CallerListener(loop, settings.callerAddress(), starter, state, nanoTime);
+    desiredState =
+        new PrefixFollower(
+            store,
+            formats.desiredStateKey(),
+            new DesiredStateFeed(formats, state),
+            loop,
+            random::nextDouble);
+    replicaEntries =
+        new PrefixFollower(
+            store,
+            formats.replicaPrefix(),
+            new ReplicaFeed(formats, replicas),
+            loop,
+            random::nextDouble);
+    routerEntries =
+        new PrefixFollower(store, RouterRegistry.PREFIX, registry, loop, random::nextDouble);
+    advertisement =
+        new LeaseKeeper(
+            store,
+            RouterRegistry.PREFIX + settings.id(),
+            self.encode(),
+            ADVERTISEMENT_LIFE,
+            loop,
+            random::nextDouble);
+    pauseWatch = new PauseWatch(nanoTime, System::currentTimeMillis);
+    EntryPoints entryPoints = new EntryPoints(registry, this::ready);
+    smallListeners =
+        List.of(
+            new HttpListener(
+                loop,
+                settings.directoryAddress(),
+                pipeline -> formats.installDirectory(pipeline, entryPoints)),
+            new HttpListener(
+                loop,
+                settings.readinessAddress(),
+                pipeline -> formats.installReadiness(pipeline, entryPoints)));
+  }
+
+  @Override
+  public void start() {
+    loop.start();
+    smallListeners.forEach(HttpListener::start);
+    callers.start();
+    loop.execute(
+        () -> {
+          desiredState.start();
+          replicaEntries.start();
+          routerEntries.start();
+        });
+    loop.every(TICK, this::tick);
+    loop.every(SWEEP, this::sweep);
+  }
+
+  private void tick() {
+    if (pauseWatch.pausedSinceLastCall()) {
+      LOGGER.atWarning().log("the process was paused or its clock was set; reading all anew");
+      desiredState.restart();
+      replicaEntries.restart();
+      routerEntries.restart();
+    }
+    if (ready() && !advertised) {
+      advertised = true;
+      advertisement.start();
+    }
+    replicas.expire();
+    registry.expire();
+    state.tick();
+  }
+
+  private void sweep() {
+    callers.sweep();
+    links.sweep(state::uses);
+  }
+
+  /** Returns whether this router takes new callers. */
+  private boolean ready() {
+    return !state.draining() && state.routing().isPresent() && replicaEntries.everRead();
+  }
+
+  /**
+   * Stops gracefully: callers are sent elsewhere at once, those that hold an old answer are served
+   * on until it has expired, and requests in progress are finished.
+   */
+  @Override
+  public void stop() {
+    loop.execute(
+        () -> {
+          LOGGER.atInfo().log("stopping; %d requests in progress", state.active());
+          stopBegunNanos = nanoTime.getAsLong();
+          state.drain();
+          advertisement.stop();
+          awaitEnd();
+        });
+    try {
+      boolean inTime =
+          stopped.await(settings.stopTimeout().minus(STOP_SLACK).toMillis(), TimeUnit.MILLISECONDS);
+      LOGGER.atInfo().log(
+          "stopped%s", inTime ? "" : " with requests in progress, as the time is over");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    loop.stop();
+  }
+
+  private void awaitEnd() {
+    Duration answersLive = EntryPoints.TIME_TO_LIVE.multipliedBy(ANSWER_LIVES).plus(STOP_SLACK);
+    boolean answersExpired = nanoTime.getAsLong() - stopBegunNanos >= answersLive.toNanos();
+    if (answersExpired && state.active() == 0) {
+      callers.stop();
+      stopped.countDown();
+    } else {
+      loop.schedule(TICK, this::awaitEnd);
+    }
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -0,0 +1,32 @@
+package org.coltsfootvale.router.serving;
+
+import java.time.Duration;
+import org.coltsfootvale.core.model.HostPort;
+
+/**
+ * What an entry router needs to know to start.
+ *
+ * @param id its name
+ * @param dataCentre where it runs
+ * @param callerAddress where callers connect
+ * @param readinessAddress where the platform asks whether it is ready
+ * @param directoryAddress where callers ask which routers to use
+ * @param peerAddress where other routers connect
+ * @param storeAddress the platform's store
+ * @param stopTimeout how long a stop may take before the process is killed
+ * @param repeatRatio the repeats that each request allows the fleet
+ * @param repeatAllowance the repeats that the fleet may make in a window besides
+ * @param repeatWindow the sliding window of the two figures above
+ */
+public record EntrySettings(
+    String id,
+    String dataCentre,
+    HostPort callerAddress,
+    HostPort readinessAddress,
+    HostPort directoryAddress,
+    HostPort peerAddress,
+    HostPort storeAddress,
+    Duration stopTimeout,
+    double repeatRatio,
+    double repeatAllowance,
+    Duration repeatWindow) {}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/IncomingBody.java
@@ -0,0 +1,52 @@
+package org.coltsfootvale.router.serving;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpRequest;
+
+/** A request as it is read: its head and the part of its body that has arrived. */
+final class IncomingBody {
+
+  private final HttpRequest head;
+  private final int bytesMax;
+  private final long begunNanos;
+  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+
+  IncomingBody(HttpRequest head, int bytesMax, long begunNanos) {
+    this.head = head;
+    this.bytesMax = bytesMax;
+    this.begunNanos = begunNanos;
+  }
+
+  /** Adds bytes; returns false if the body is larger than allowed. */
+  boolean append(ByteBuf bytes) {
+    if (!bytes.isReadable()) {
+      return true;
+    }
+    if (body.readableBytes() + bytes.readableBytes() > bytesMax) {
+      return false;
+    }
+    if (body == Unpooled.EMPTY_BUFFER) {
+      body = Unpooled.buffer(bytes.readableBytes(), bytesMax);
+    }
+    body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+    return true;
+  }
+
+  HttpRequest head() {
+    return head;
+  }
+
+  ByteBuf body() {
+    return body;
+  }
+
+  /** Returns when the head arrived, on the monotonic clock. */
+  long begunNanos() {
+    return begunNanos;
+  }
+
+  void release() {
+    body.release();
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ReplicaFeed.java
@@ -0,0 +1,42 @@
+package org.coltsfootvale.router.serving;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.coltsfootvale.core.replica.Replica;
+import org.coltsfootvale.core.replica.ReplicaTable;
+import org.coltsfootvale.core.store.PrefixFollower;
+import org.coltsfootvale.core.store.StoreEntry;
+
+/** Feeds the entries of replicas from the store to the table of replicas. */
+final class ReplicaFeed implements PrefixFollower.Listener {
+
+  private final EntryFormats formats;
+  private final ReplicaTable table;
+
+  ReplicaFeed(EntryFormats formats, ReplicaTable table) {
+    this.formats = formats;
+    this.table = table;
+  }
+
+  @Override
+  public void onReading(List<StoreEntry> entries) {
+    List<Replica> replicas = new ArrayList<>();
+    entries.forEach(entry -> read(entry).ifPresent(replicas::add));
+    table.replaceAll(replicas);
+  }
+
+  @Override
+  public void onChange(StoreEntry entry) {
+    read(entry).ifPresentOrElse(table::put, () -> table.remove(formats.replicaId(entry.key())));
+  }
+
+  @Override
+  public void onStoreReturned() {
+    table.storeReturned();
+  }
+
+  private Optional<Replica> read(StoreEntry entry) {
+    return entry.value().flatMap(value -> formats.replica(entry.key(), value));
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
@@ -0,0 +1,122 @@
+package org.coltsfootvale.router.serving;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.course.RepeatBudget;
+import org.coltsfootvale.core.course.RequestCourse;
+import org.coltsfootvale.core.course.RequestDescription;
+import org.coltsfootvale.core.dispatch.Refusal;
+import org.coltsfootvale.core.routing.Organisation;
+import org.coltsfootvale.core.routing.Route;
+import org.coltsfootvale.core.routing.RoutingState;
+import org.coltsfootvale.router.http.ReplicaLinks;
+import org.coltsfootvale.router.http.ServingLoop;
+import org.jspecify.annotations.Nullable;
+
+/** Checks a request that was read and sets it on its course. Confined to the serving loop. */
+public final class RequestStarter {
+
+  /** The largest body taken before the desired state is known. */
+  private static final int BODY_BYTES_UNINFORMED = 1024 * 1024;
+
+  private final ServingState state;
+  private final CallerProtocol protocol;
+  private final RepeatBudget budget;
+  private final ReplicaLinks links;
+  private final ServingLoop loop;
+  private final AnswerWriter writer;
+  private final LongSupplier nanoTime;
+
+  /**
+   * Creates a starter.
+   *
+   * @param state what this router believes
+   * @param protocol translates headers
+   * @param budget the repeats that may be spent
+   * @param links the connections to replicas
+   * @param loop runs timers
+   * @param nanoTime the monotonic clock in nanoseconds
+   */
+  public RequestStarter(
+      ServingState state,
+      CallerProtocol protocol,
+      RepeatBudget budget,
+      ReplicaLinks links,
+      ServingLoop loop,
+      LongSupplier nanoTime) {
+    this.state = state;
+    this.protocol = protocol;
+    this.budget = budget;
+    this.links = links;
+    this.loop = loop;
+    this.writer = new AnswerWriter(protocol);
+    this.nanoTime = nanoTime;
+  }
+
+  /** Returns the greatest size of a body. */
+  int bodyBytesMax() {
+    return state
+        .routing()
+        .map(routing -> routing.limits().bodyBytesMax())
+        .orElse(BODY_BYTES_UNINFORMED);
+  }
+
+  /** Starts a request; returns its exchange, or null if it has been answered already. */
+  @Nullable Exchange start(CallerConnection caller, IncomingBody request) {
+    Optional<RoutingState> routing = state.routing();
+    if (routing.isEmpty()) {
+      request.release();
+      writer.refuse(
+          caller, new Refusal(Refusal.Reason.NOT_CONFIGURED, state.retryWhenUninformed()));
+      return null;
+    }
+    return start(caller, request, routing.get());
+  }
+
+  private @Nullable Exchange start(
+      CallerConnection caller, IncomingBody request, RoutingState routing) {
+    HttpRequest head = request.head();
+    Optional<Route> route = routing.route(head.headers().get(HttpHeaderNames.HOST, ""), head.uri());
+    if (route.isEmpty()) {
+      request.release();
+      writer.fail(caller, HttpResponseStatus.NOT_FOUND);
+      return null;
+    }
+    RequestDescription description = protocol.describe(head);
+    Optional<Organisation> organisation = description.key().flatMap(routing::organisationOf);
+    boolean keyNeeded = routing.keysRequired() && !route.get().anonymous();
+    if (keyNeeded && organisation.isEmpty()) {
+      request.release();
+      writer.fail(caller, HttpResponseStatus.UNAUTHORIZED);
+      return null;
+    }
+    return start(caller, request, route.get(), description, organisation);
+  }
+
+  private @Nullable Exchange start(
+      CallerConnection caller,
+      IncomingBody request,
+      Route route,
+      RequestDescription description,
+      Optional<Organisation> organisation) {
+    String service = route.serviceFor(state.nextRandom());
+    RequestCourse course = new RequestCourse(route, service, description.lastEventId(), budget);
+    Duration patience = description.patience().orElse(route.timeout());
+    Duration timeLeft = patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
+    Exchange exchange =
+        new Exchange(
+            new Exchange.Surroundings(state, protocol, links, loop, writer, nanoTime),
+            caller,
+            request,
+            description,
+            course,
+            organisation,
+            request.begunNanos() + timeLeft.toNanos());
+    exchange.begin();
+    return exchange.ended() ? null : exchange;
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/SilenceLimit.java
@@ -0,0 +1,25 @@
+package org.coltsfootvale.router.serving;
+
+import java.time.Duration;
+import org.coltsfootvale.core.routing.Route;
+
+/** How long a replica may be silent before a request that may move goes on elsewhere. */
+final class SilenceLimit {
+
+  /** Callers abandon streams after 2 s without an event. */
+  private static final Duration STREAM = Duration.ofMillis(1_400);
+
+  private static final Duration WHOLE_MIN = Duration.ofMillis(250);
+  private static final double WHOLE_GOALS = 2.5;
+
+  private SilenceLimit() {}
+
+  /** Returns the limit for the requests of a route. */
+  static Duration of(Route route) {
+    if (route.streaming()) {
+      return STREAM;
+    }
+    Duration ofGoal = Duration.ofNanos((long) (route.goal().toNanos() * WHOLE_GOALS));
+    return ofGoal.compareTo(WHOLE_MIN) > 0 ? ofGoal : WHOLE_MIN;
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/package-info.java
@@ -0,0 +1,5 @@
+/** The path of a request from a caller's connection to a replica and back. */
+@NullMarked
+package org.coltsfootvale.router.serving;
+
+import org.jspecify.annotations.NullMarked;
