Share placements among the routers; place prompts where their parts are cached

Change: ServingNews among routers (requests in flight, parts placed, replicas leaving); parts go to replicas that hold them within a bound of load, rendezvous only for parts that nobody holds; a router that cannot read the store asks a peer.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestDescription.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestDescription.java
@@ -42,6 +42,15 @@
     return prompt.get(Math.max(0, prompt.size() - 2)).id();
   }
 
+  /** Returns the tokens of the parts that other requests share. */
+  public int sharedTokens() {
+    int total = 0;
+    for (int i = 0; i < prompt.size() - 1; i++) {
+      total += prompt.get(i).tokens();
+    }
+    return total;
+  }
+
   /** Returns the tokens of the last part, which no other request shares. */
   public int ownTokens() {
     return prompt.isEmpty() ? promptTokens : prompt.get(prompt.size() - 1).tokens();
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/DispatchOptions.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/DispatchOptions.java
@@ -5,8 +5,11 @@
 /**
  * The limits of waiting and placing.
  *
- * @param loadBound the load that a replica may have relative to the mean of its service
- * @param loadBoundExtra the requests that a replica may have above that
+ * @param loadBound the load relative to the mean of its service up to which a replica gets requests
+ *     whose prompt is cheap to read again
+ * @param loadBoundMax the load relative to the mean up to which a replica gets any request
+ * @param loadBoundExtra the requests that a replica may have above either
+ * @param costlyTokens the tokens of shared parts from which on reading them again is dear
  * @param reportAgeMax the age from which on a replica's own count is ignored
  * @param failureShareMax the share of failures from which on a replica gets less work
  * @param silenceMax how long a replica may be silent with unanswered requests before new ones go
@@ -18,7 +21,9 @@
  */
 public record DispatchOptions(
     double loadBound,
+    double loadBoundMax,
     double loadBoundExtra,
+    int costlyTokens,
     Duration reportAgeMax,
     double failureShareMax,
     Duration silenceMax,
@@ -33,8 +38,10 @@
    */
   public static DispatchOptions defaults() {
     return new DispatchOptions(
-        1.5,
+        1.4,
+        1.9,
         2.0,
+        1_500,
         Duration.ofMillis(1_500),
         0.5,
         Duration.ofMillis(700),
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
@@ -18,16 +18,19 @@
 
   private final DispatchOptions options;
   private final String ownDataCentre;
+  private final PeerPlacements peers;
   private final LongSupplier nanoTime;
   private final UniformRandomProvider random;
 
   LeastLoadChoice(
       DispatchOptions options,
       String ownDataCentre,
+      PeerPlacements peers,
       LongSupplier nanoTime,
       UniformRandomProvider random) {
     this.options = options;
     this.ownDataCentre = ownDataCentre;
+    this.peers = peers;
     this.nanoTime = nanoTime;
     this.random = random;
   }
@@ -42,7 +45,8 @@
         continue;
       }
       int slots = Math.max(1, replica.replica().slots());
-      double load = replica.load(now, options.reportAgeMax().toNanos());
+      double load =
+          replica.load(peers.inFlightAt(replica.nameHash()), now, options.reportAgeMax().toNanos());
       if (load >= 2.0 * slots) {
         continue;
       }
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
@@ -0,0 +1,55 @@
+package org.coltsfootvale.core.dispatch;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+/**
+ * The requests that the other routers have at each replica, by their latest news. Replicas are
+ * known by hashes of their ids. Confined to one thread.
+ */
+public final class PeerPlacements {
+
+  private final long lifeNanos;
+  private final LongSupplier nanoTime;
+  private final Map<String, Heard> heardByPeer = new HashMap<>();
+
+  /**
+   * Creates empty knowledge.
+   *
+   * @param life how long a router's news are used
+   * @param nanoTime the monotonic clock in nanoseconds
+   */
+  public PeerPlacements(Duration life, LongSupplier nanoTime) {
+    this.lifeNanos = life.toNanos();
+    this.nanoTime = nanoTime;
+  }
+
+  /** Takes the requests of another router, by replica; replicas not named have none. */
+  public void heard(String peer, Map<Long, Integer> inFlightByReplica) {
+    heardByPeer.put(peer, new Heard(nanoTime.getAsLong(), Map.copyOf(inFlightByReplica)));
+  }
+
+  /** Returns the requests of all other routers at a replica. */
+  int inFlightAt(long replicaHash) {
+    int total = 0;
+    for (Heard heard : heardByPeer.values()) {
+      total += heard.inFlightByReplica().getOrDefault(replicaHash, 0);
+    }
+    return total;
+  }
+
+  /** Forgets routers that have been silent for too long. */
+  public void expire() {
+    long now = nanoTime.getAsLong();
+    heardByPeer.values().removeIf(heard -> now - heard.atNanos() > lifeNanos);
+  }
+
+  /** Returns the number of other routers that are heard. */
+  public int peers() {
+    return heardByPeer.size();
+  }
+
+  private record Heard(long atNanos, Map<Long, Integer> inFlightByReplica) {}
+}
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
@@ -1,92 +1,125 @@
 package org.coltsfootvale.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.coltsfootvale.core.support.RendezvousHashing;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Sends the requests that share a part of their prompt to the same replica, as long as its load
- * allows. All routers rank the replicas for a part alike, by rendezvous hashing.
+ * Sends the requests that share a part of their prompt to the replicas that hold it, as long as
+ * their load allows, and to further ones only when it does not. Where a part that nobody holds goes
+ * is decided by rendezvous hashing, so that routers which see it at the same time agree.
  */
 final class PromptChoice implements ReplicaChoice {
 
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final DispatchOptions options;
+  private final PromptLocations locations;
+  private final PeerPlacements peers;
   private final LongSupplier nanoTime;
 
-  PromptChoice(DispatchOptions options, LongSupplier nanoTime) {
+  PromptChoice(
+      DispatchOptions options,
+      PromptLocations locations,
+      PeerPlacements peers,
+      LongSupplier nanoTime) {
     this.options = options;
+    this.locations = locations;
+    this.peers = peers;
     this.nanoTime = nanoTime;
   }
 
   @Override
   public @Nullable ReplicaState choose(Work work, Collection<ReplicaState> replicas) {
-    ReplicaState sound = choose(work, replicas, this::sound);
-    return sound != null ? sound : choose(work, replicas, (replica, now) -> true);
+    long now = nanoTime.getAsLong();
+    List<Candidate> open = candidates(work, replicas, now);
+    List<Candidate> sound = open.stream().filter(candidate -> sound(candidate, now)).toList();
+    return choose(work, sound.isEmpty() ? open : sound, mean(replicas, now));
   }
 
-  private @Nullable ReplicaState choose(
-      Work work, Collection<ReplicaState> replicas, Criterion criterion) {
-    long now = nanoTime.getAsLong();
-    double bound = bound(replicas, now);
-    long keyHash = RendezvousHashing.hash(work.description().sharedPart());
-    ReplicaState best = null;
-    double bestScore = Double.NEGATIVE_INFINITY;
-    ReplicaState leastLoaded = null;
-    double leastLoad = Double.POSITIVE_INFINITY;
-    for (ReplicaState replica : replicas) {
-      double load = load(replica, now);
-      if (!open(work, replica)
-          || load >= replica.replica().slots()
-          || !criterion.test(replica, now)) {
-        continue;
-      }
-      if (load < leastLoad) {
-        leastLoaded = replica;
-        leastLoad = load;
-      }
-      double score = RendezvousHashing.score(keyHash, replica.nameHash(), 1.0);
-      if (load + 1 <= bound && !busyReading(replica) && score > bestScore) {
-        best = replica;
-        bestScore = score;
-      }
+  private @Nullable ReplicaState choose(Work work, List<Candidate> candidates, double meanLoad) {
+    boolean costly = work.description().sharedTokens() >= options.costlyTokens();
+    double factor = costly ? options.loadBoundMax() : options.loadBound();
+    double bound = factor * meanLoad + options.loadBoundExtra();
+    Candidate holder =
+        leastLoaded(candidates, candidate -> candidate.holds() && fits(candidate, bound));
+    if (holder != null) {
+      return holder.replica();
+    }
+    double spillBound = options.loadBound() * meanLoad + options.loadBoundExtra();
+    Candidate home = highestRanked(candidates, candidate -> fits(candidate, spillBound));
+    if (home != null) {
+      return home.replica();
     }
-    return best != null ? best : leastLoaded;
+    Candidate least = leastLoaded(candidates, candidate -> true);
+    return least == null ? null : least.replica();
   }
 
-  private double bound(Collection<ReplicaState> replicas, long now) {
-    double total = 0;
-    for (ReplicaState replica : replicas) {
-      total += load(replica, now);
-    }
-    return options.loadBound() * total / Math.max(1, replicas.size()) + options.loadBoundExtra();
+  private static boolean fits(Candidate candidate, double bound) {
+    return candidate.load() + 1 <= bound;
   }
 
-  private double load(ReplicaState replica, long now) {
-    return replica.load(now, options.reportAgeMax().toNanos());
+  private static @Nullable Candidate leastLoaded(
+      List<Candidate> candidates, Predicate<Candidate> allowed) {
+    return candidates.stream()
+        .filter(allowed)
+        .min(Comparator.comparingDouble(Candidate::load))
+        .orElse(null);
   }
 
-  private static boolean open(Work work, ReplicaState replica) {
-    return !work.avoids(replica) && !replica.health().suspended();
+  private static @Nullable Candidate highestRanked(
+      List<Candidate> candidates, Predicate<Candidate> allowed) {
+    return candidates.stream()
+        .filter(allowed)
+        .max(Comparator.comparingDouble(Candidate::rank))
+        .orElse(null);
   }
 
-  private boolean sound(ReplicaState replica, long now) {
-    return replica.health().failureShare() <= options.failureShareMax()
-        && replica.silentSince(now) <= options.silenceMax().toNanos();
+  private List<Candidate> candidates(Work work, Collection<ReplicaState> replicas, long now) {
+    String part = work.description().sharedPart();
+    long partHash = RendezvousHashing.hash(part);
+    Set<Long> holders = locations.holders(part);
+    List<Candidate> candidates = new ArrayList<>(replicas.size());
+    for (ReplicaState replica : replicas) {
+      double load = load(replica, now);
+      boolean full = load >= replica.replica().slots();
+      if (!full && !work.avoids(replica) && !replica.health().suspended()) {
+        double rank = RendezvousHashing.score(partHash, replica.nameHash(), 1.0);
+        boolean holds = holders.contains(replica.nameHash());
+        candidates.add(new Candidate(replica, load + readingLoad(replica), rank, holds));
+      }
+    }
+    return candidates;
   }
 
-  private boolean busyReading(ReplicaState replica) {
+  /** Counts the prompts that a replica still reads, beyond what it reads at once, as requests. */
+  private double readingLoad(ReplicaState replica) {
     double delayNanos =
         replica.unstartedTokens() / options.promptTokensPerMilli() * NANOS_PER_MILLI;
-    return delayNanos > options.startDelayMax().toNanos();
+    return Math.max(0, delayNanos / options.startDelayMax().toNanos() - 1);
+  }
+
+  private double mean(Collection<ReplicaState> replicas, long now) {
+    return replicas.stream().mapToDouble(replica -> load(replica, now)).average().orElse(0);
   }
 
-  /** Tells whether a replica is considered. */
-  @FunctionalInterface
-  private interface Criterion {
+  private double load(ReplicaState replica, long now) {
+    int ofPeers = peers.inFlightAt(replica.nameHash());
+    return replica.load(ofPeers, now, options.reportAgeMax().toNanos());
+  }
 
-    boolean test(ReplicaState replica, long nowNanos);
+  private boolean sound(Candidate candidate, long now) {
+    ReplicaState replica = candidate.replica();
+    return replica.health().failureShare() <= options.failureShareMax()
+        && replica.silentSince(now) <= options.silenceMax().toNanos();
   }
+
+  /** A replica that may take the request. */
+  private record Candidate(ReplicaState replica, double load, double rank, boolean holds) {}
 }
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
@@ -0,0 +1,90 @@
+package org.coltsfootvale.core.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.support.RendezvousHashing;
+
+/**
+ * Which replicas hold which parts of prompts in their cache, as far as the requests of this router
+ * and the news of its peers tell. Parts and replicas are known by hashes of their ids. Confined to
+ * one thread.
+ */
+public final class PromptLocations {
+
+  /** A part that was placed at a replica. */
+  public record Placed(long part, long replica) {}
+
+  /** The parts that are remembered; the one that was used the longest time ago yields. */
+  private static final int PARTS_MAX = 20_000;
+
+  private final long lifeNanos;
+  private final LongSupplier nanoTime;
+  private final Map<Long, Map<Long, Long>> usedNanosByPart =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Map<Long, Long>> eldest) {
+          return size() > PARTS_MAX;
+        }
+      };
+  private List<Placed> news = new ArrayList<>();
+
+  /**
+   * Creates empty knowledge.
+   *
+   * @param life how long after its last use a part is taken to be in a cache
+   * @param nanoTime the monotonic clock in nanoseconds
+   */
+  public PromptLocations(Duration life, LongSupplier nanoTime) {
+    this.lifeNanos = life.toNanos();
+    this.nanoTime = nanoTime;
+  }
+
+  /** Takes note that this router sends a request with a part to a replica. */
+  void placed(String part, ReplicaState replica) {
+    long partHash = RendezvousHashing.hash(part);
+    record(partHash, replica.nameHash());
+    news.add(new Placed(partHash, replica.nameHash()));
+  }
+
+  /** Takes note that another router has sent a request with a part to a replica. */
+  public void heard(Placed placed) {
+    record(placed.part(), placed.replica());
+  }
+
+  /** Returns what was placed since the last call, for the other routers. */
+  public List<Placed> drainNews() {
+    List<Placed> drained = news;
+    news = new ArrayList<>();
+    return drained;
+  }
+
+  /** Returns the hashes of the replicas that hold a part. */
+  Set<Long> holders(String part) {
+    Map<Long, Long> used = usedNanosByPart.get(RendezvousHashing.hash(part));
+    if (used == null) {
+      return Set.of();
+    }
+    long oldest = nanoTime.getAsLong() - lifeNanos;
+    Iterator<Long> times = used.values().iterator();
+    while (times.hasNext()) {
+      if (times.next() - oldest < 0) {
+        times.remove();
+      }
+    }
+    return used.keySet();
+  }
+
+  private void record(long part, long replica) {
+    usedNanosByPart
+        .computeIfAbsent(part, hash -> new LinkedHashMap<>())
+        .put(replica, nanoTime.getAsLong());
+  }
+}
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -13,7 +13,6 @@
   private int inFlight;
   private int unstarted;
   private long unstartedTokens;
-  private int peersInFlight;
   private @Nullable LoadReport report;
   private long reportedNanos;
   private int inFlightAtReport;
@@ -44,7 +43,8 @@
     replica = latest;
   }
 
-  long nameHash() {
+  /** Returns the hash of the replica's id. */
+  public long nameHash() {
     return nameHash;
   }
 
@@ -73,10 +73,6 @@
     inFlightAtReport = inFlight;
   }
 
-  void peersInFlight(int count) {
-    peersInFlight = count;
-  }
-
   /** Returns for how long the replica has had requests and sent nothing, in nanoseconds. */
   long silentSince(long nowNanos) {
     if (inFlight == 0) {
@@ -98,12 +94,13 @@
   /**
    * Estimates the requests of all routers at the replica.
    *
+   * @param peersInFlight the requests of the other routers by their own news
    * @param reportAgeMaxNanos the age from which on the replica's own count is ignored
    */
-  double load(long nowNanos, long reportAgeMaxNanos) {
+  double load(int peersInFlight, long nowNanos, long reportAgeMaxNanos) {
     LoadReport latest = report;
     int others = peersInFlight;
-    if (latest != null && nowNanos - reportedNanos <= reportAgeMaxNanos) {
+    if (peersInFlight == 0 && latest != null && nowNanos - reportedNanos <= reportAgeMaxNanos) {
       int total = latest.running() + latest.waiting();
       others = Math.max(others, total - inFlightAtReport);
     }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.coltsfootvale.core.replica.Replica;
 import org.jspecify.annotations.Nullable;
@@ -36,7 +35,7 @@
   private final UniformRandomProvider random;
   private final ReplicaChoice promptChoice;
   private final ReplicaChoice leastLoadChoice;
-  private final Supplier<Integer> routers;
+  private final PromptLocations locations;
   private final Map<String, ReplicaState> replicas = new HashMap<>();
   private final List<Work> waiting = new ArrayList<>();
 
@@ -45,22 +44,24 @@
    *
    * @param options the limits
    * @param ownDataCentre the data centre of this router
-   * @param routers the number of routers of the fleet
+   * @param locations where parts of prompts are cached
+   * @param peers what the other routers have placed
    * @param nanoTime the monotonic clock in nanoseconds
    * @param random breaks ties and spreads returning callers
    */
   public ServiceDispatcher(
       DispatchOptions options,
       String ownDataCentre,
-      Supplier<Integer> routers,
+      PromptLocations locations,
+      PeerPlacements peers,
       LongSupplier nanoTime,
       UniformRandomProvider random) {
     this.options = options;
     this.nanoTime = nanoTime;
     this.random = random;
-    this.routers = routers;
-    this.promptChoice = new PromptChoice(options, nanoTime);
-    this.leastLoadChoice = new LeastLoadChoice(options, ownDataCentre, nanoTime, random);
+    this.locations = locations;
+    this.promptChoice = new PromptChoice(options, locations, peers, nanoTime);
+    this.leastLoadChoice = new LeastLoadChoice(options, ownDataCentre, peers, nanoTime, random);
   }
 
   /** Takes a replica into use, or takes over its latest record. */
@@ -97,11 +98,6 @@
     return waiting.size();
   }
 
-  /** Returns the number of routers that share the replicas. */
-  public int routers() {
-    return routers.get();
-  }
-
   /** Places a request, or lets it wait. */
   public void submit(Work work) {
     ReplicaState chosen = choose(work);
@@ -161,6 +157,9 @@
 
   private void place(Work work, ReplicaState replica) {
     replica.occupy(work, nanoTime.getAsLong());
+    if (!work.description().prompt().isEmpty()) {
+      locations.placed(work.description().sharedPart(), replica);
+    }
     work.onPlaced(replica);
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/Replica.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/Replica.java
@@ -23,6 +23,11 @@
     int slots,
     boolean leaving) {
 
+  /** Returns the record of the same replica that has announced its departure. */
+  Replica asLeaving() {
+    return new Replica(id, bornMillis, service, address, dataCentre, slots, true);
+  }
+
   /** Returns whether another record tells of the same start of the same server. */
   public boolean sameIncarnation(Replica other) {
     return id.equals(other.id)
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/ReplicaTable.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/ReplicaTable.java
@@ -45,6 +45,13 @@
   /** Takes an entry as the store holds it. */
   public void put(Replica replica) {
     Optional<Replica> known = table.put(replica.id(), replica);
+    boolean leftBefore =
+        known.filter(before -> before.leaving() && before.sameIncarnation(replica)).isPresent();
+    if (leftBefore && !replica.leaving()) {
+      // A departure is never taken back, so this record is older than what was known.
+      table.put(replica.id(), replica.asLeaving());
+      return;
+    }
     known.filter(before -> !before.sameIncarnation(replica)).ifPresent(listener::onDeparture);
     if (replica.leaving()) {
       listener.onDeparture(replica);
@@ -53,6 +60,14 @@
     }
   }
 
+  /** Takes another router's word that a replica has announced its departure. */
+  public void leaves(String id) {
+    table
+        .find(id)
+        .filter(replica -> !replica.leaving())
+        .ifPresent(replica -> put(replica.asLeaving()));
+  }
+
   /** Takes note that an entry was deleted, or names no usable replica. */
   public void remove(String id) {
     boolean announced = table.find(id).map(Replica::leaving).orElse(false);
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -44,7 +44,8 @@
   private final Listener listener;
   private final Scheduler scheduler;
   private final DoubleSupplier random;
-  private final Map<String, Long> revisions = new HashMap<>();
+  private final Map<String, StoreEntry> known = new HashMap<>();
+  private long knownRevision;
   private boolean running;
   private long generation;
   private int failuresInRow;
@@ -130,10 +131,7 @@
       return;
     }
     current = true;
-    everRead = true;
-    revisions.clear();
-    read.forEach(entry -> revisions.put(entry.key(), entry.revision()));
-    listener.onReading(read);
+    take(read, revision);
     awaitChanges(started, revision);
   }
 
@@ -154,17 +152,58 @@
                   } else {
                     succeeded();
                     changes.entries().forEach(this::changed);
+                    knownRevision = Math.max(knownRevision, changes.revision());
                     awaitChanges(started, changes.revision());
                   }
                 });
   }
 
+  private void take(List<StoreEntry> entries, long revision) {
+    everRead = true;
+    known.clear();
+    entries.forEach(entry -> known.put(entry.key(), entry));
+    knownRevision = revision;
+    listener.onReading(entries);
+  }
+
+  /**
+   * Takes what another router knows, if that is newer than what is known here.
+   *
+   * @param entries all keys of the prefix
+   * @param revision the store's revision up to which they are known
+   */
+  public void learn(List<StoreEntry> entries, long revision) {
+    if (revision > knownRevision) {
+      take(entries, revision);
+    }
+  }
+
+  /** Returns all known keys of the prefix, for other routers. */
+  public List<StoreEntry> known() {
+    return List.copyOf(known.values());
+  }
+
+  /** Returns the store's revision up to which the keys are known; 0 before the first reading. */
+  public long knownRevision() {
+    return knownRevision;
+  }
+
+  /** Returns the prefix. */
+  public String prefix() {
+    return prefix;
+  }
+
   /** Pages are read one after the other, so a change may be older than what a later page held. */
   private void changed(StoreEntry entry) {
-    if (entry.revision() <= revisions.getOrDefault(entry.key(), 0L)) {
+    StoreEntry before = known.get(entry.key());
+    if (before != null && entry.revision() <= before.revision()) {
       return;
     }
-    revisions.put(entry.key(), entry.revision());
+    if (entry.value().isPresent()) {
+      known.put(entry.key(), entry);
+    } else {
+      known.remove(entry.key());
+    }
     listener.onChange(entry);
   }
 
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/ClientChannel.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/ClientChannel.java
@@ -82,7 +82,13 @@
   void onEnvelope(ChannelHandlerContext channelContext, Envelope message) {
     switch (message.getBodyCase()) {
       case PONG -> context.handler().onPeerAlive(peer);
-      case SHARE_GRANT, NOTES_REPLY, FORWARD_HEAD, FORWARD_BODY, FORWARD_END, FAILURE ->
+      case SHARE_GRANT,
+          NOTES_REPLY,
+          PREFIX_REPLY,
+          FORWARD_HEAD,
+          FORWARD_BODY,
+          FORWARD_END,
+          FAILURE ->
           dispatch(message);
       default -> throw new IllegalArgumentException("unexpected message: " + message.getBodyCase());
     }
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/NettyPeerTransport.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/NettyPeerTransport.java
@@ -43,6 +43,7 @@
 
   private final InetSocketAddress bindAddress;
   private final TransportContext context;
+  private final @Nullable EventLoopGroup sharedLoops;
   private final Map<HostPort, PeerConnection> connections = new ConcurrentHashMap<>();
   private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private @Nullable EventLoopGroup loops;
@@ -83,6 +84,23 @@
       PeerHandler handler,
       PeerTransportOptions options,
       InstantSource clock) {
+    this(self, bindAddress, secrets, handler, options, clock, null);
+  }
+
+  /**
+   * Creates a transport on event loops that the caller owns.
+   *
+   * @param sharedLoops the event loops, or null for loops of its own
+   */
+  public NettyPeerTransport(
+      RouterIncarnation self,
+      InetSocketAddress bindAddress,
+      List<String> secrets,
+      PeerHandler handler,
+      PeerTransportOptions options,
+      InstantSource clock,
+      @Nullable EventLoopGroup sharedLoops) {
+    this.sharedLoops = sharedLoops;
     this.bindAddress = bindAddress;
     this.context =
         new TransportContext(
@@ -94,10 +112,7 @@
     if (loops != null) {
       return;
     }
-    int threads = Math.min(THREADS_MAX, Runtime.getRuntime().availableProcessors());
-    EventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(
-            threads, new DefaultThreadFactory("peer-transport", true), NioIoHandler.newFactory());
+    EventLoopGroup group = sharedLoops != null ? sharedLoops : ownLoops();
     loops = group;
     client = clientBootstrap(group);
     listening = bind(group);
@@ -118,6 +133,9 @@
     connections.values().forEach(PeerConnection::stop);
     connections.clear();
     accepted.close().awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
+    if (group == sharedLoops) {
+      return;
+    }
     group
         .shutdownGracefully(0, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         .awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
@@ -218,6 +236,12 @@
             });
   }
 
+  private static EventLoopGroup ownLoops() {
+    int threads = Math.min(THREADS_MAX, Runtime.getRuntime().availableProcessors());
+    return new MultiThreadIoEventLoopGroup(
+        threads, new DefaultThreadFactory("peer-transport", true), NioIoHandler.newFactory());
+  }
+
   private Bootstrap clientBootstrap(EventLoopGroup group) {
     int timeoutMillis = Math.toIntExact(context.options().connectTimeout().toMillis());
     return new Bootstrap()
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerHandler.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerHandler.java
@@ -7,6 +7,9 @@
 import org.coltsfootvale.protocol.wire.Gossip;
 import org.coltsfootvale.protocol.wire.NotesReply;
 import org.coltsfootvale.protocol.wire.NotesRequest;
+import org.coltsfootvale.protocol.wire.PrefixReply;
+import org.coltsfootvale.protocol.wire.PrefixRequest;
+import org.coltsfootvale.protocol.wire.ServingNews;
 import org.coltsfootvale.protocol.wire.ShareGrant;
 
 /** Serves the messages of authenticated peers; called on transport threads, never blocks. */
@@ -27,6 +30,14 @@
   /** Serves a forwarded request. */
   void onForward(RouterIncarnation from, ForwardRequest request, ForwardResponder responder);
 
+  /** Takes what another router has placed; ignored by routers that share no placements. */
+  default void onServingNews(RouterIncarnation from, ServingNews news) {}
+
+  /** Answers a question for a prefix of the store; routers that follow none know nothing. */
+  default PrefixReply onPrefixRequest(RouterIncarnation from, PrefixRequest request) {
+    return PrefixReply.getDefaultInstance();
+  }
+
   /** Tells that a peer has proved to be alive: a handshake or a heartbeat was answered. */
   void onPeerAlive(RouterIncarnation peer);
 }
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/ServerChannel.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/ServerChannel.java
@@ -28,6 +28,8 @@
       case PING -> answerPing(channel);
       case GOSSIP -> context.handler().onGossip(peer, message.getGossip());
       case DISPATCH_COUNTS -> context.handler().onDispatchCounts(peer, message.getDispatchCounts());
+      case SERVING_NEWS -> context.handler().onServingNews(peer, message.getServingNews());
+      case PREFIX_REQUEST -> answer(channel, message, () -> prefixReply(message));
       case DEMAND_REPORT -> answer(channel, message, () -> demandReply(message));
       case NOTES_REQUEST -> answer(channel, message, () -> notesReply(message));
       case FORWARD_REQUEST -> open(channel, message);
@@ -65,6 +67,11 @@
     return Envelope.newBuilder().setNotesReply(notes);
   }
 
+  private Envelope.Builder prefixReply(Envelope message) {
+    var reply = context.handler().onPrefixRequest(peer, message.getPrefixRequest());
+    return Envelope.newBuilder().setPrefixReply(reply);
+  }
+
   private void answer(
       ChannelHandlerContext channel, Envelope message, Supplier<Envelope.Builder> handling) {
     Envelope.Builder reply;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -41,6 +42,11 @@
     return (EventLoop) group.next();
   }
 
+  /** Returns the group that holds the event loop alone. */
+  public EventLoopGroup group() {
+    return group;
+  }
+
   /** Runs a task on the thread of the loop. */
   public void execute(Runnable task) {
     eventLoop().execute(guarded(task));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -11,9 +12,12 @@
 import org.coltsfootvale.core.course.DefaultRepeatBudget;
 import org.coltsfootvale.core.course.RepeatBudget;
 import org.coltsfootvale.core.dispatch.DispatchOptions;
+import org.coltsfootvale.core.dispatch.PeerPlacements;
+import org.coltsfootvale.core.dispatch.PromptLocations;
 import org.coltsfootvale.core.registry.LeaseKeeper;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.registry.RouterRegistry;
+import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.store.RevisionedStore;
@@ -36,6 +40,19 @@
   /** How long a router that has died without notice stays in the answers to callers. */
   private static final Duration ADVERTISEMENT_LIFE = Duration.ofSeconds(3);
 
+  /** How long after its last use a part of a prompt is taken to be in a replica's cache. */
+  private static final Duration CACHE_LIFE = Duration.ofSeconds(60);
+
+  /** How long another router's counts are used: several times the longest pause between news. */
+  private static final Duration PEER_LIFE = Duration.ofMillis(1_500);
+
+  /**
+   * The pause between news to other routers, for each of them: bounds what a large fleet spends.
+   */
+  private static final Duration NEWS_PAUSE_A_ROUTER = Duration.ofMillis(3);
+
+  private static final Duration NEWS_PAUSE_MIN = Duration.ofMillis(50);
+  private static final Duration ASK_PAUSE = Duration.ofMillis(250);
   private static final Duration TICK = Duration.ofMillis(20);
   private static final Duration SWEEP = Duration.ofMillis(250);
 
@@ -56,6 +73,7 @@
   private final PrefixFollower replicaEntries;
   private final PrefixFollower routerEntries;
   private final LeaseKeeper advertisement;
+  private final FleetExchange exchange;
   private final PauseWatch pauseWatch;
   private final List<HttpListener> smallListeners;
   private final CountDownLatch stopped = new CountDownLatch(1);
@@ -84,10 +102,17 @@
         new RouterAdvertisement(
             settings.id(), settings.dataCentre(), settings.callerAddress(), settings.peerAddress());
     registry = new RouterRegistry(self, LAPSE_GRACE, nanoTime);
+    PromptLocations locations = new PromptLocations(CACHE_LIFE, nanoTime);
+    PeerPlacements placements = new PeerPlacements(PEER_LIFE, nanoTime);
     state =
         new ServingState(
-            DispatchOptions.defaults(), settings.dataCentre(), registry::size, nanoTime, random);
-    replicas = new ReplicaTable(LAPSE_GRACE, nanoTime, state);
+            DispatchOptions.defaults(),
+            settings.dataCentre(),
+            locations,
+            placements,
+            nanoTime,
+            random);
+    replicas = new ReplicaTable(LAPSE_GRACE, nanoTime, new ReplicaListener());
     links = new ReplicaLinks(loop, nanoTime);
     RepeatBudget budget =
         new DefaultRepeatBudget(
@@ -122,6 +147,18 @@
             ADVERTISEMENT_LIFE,
             loop,
             random::nextDouble);
+    exchange =
+        new FleetExchange(
+            settings,
+            loop,
+            registry,
+            state,
+            locations,
+            placements,
+            replicas,
+            List.of(desiredState, replicaEntries, routerEntries),
+            random::nextDouble,
+            InstantSource.system());
     pauseWatch = new PauseWatch(nanoTime, System::currentTimeMillis);
     EntryPoints entryPoints = new EntryPoints(registry, this::ready);
     smallListeners =
@@ -141,16 +178,25 @@
     loop.start();
     smallListeners.forEach(HttpListener::start);
     callers.start();
+    exchange.start();
     loop.execute(
         () -> {
           desiredState.start();
           replicaEntries.start();
           routerEntries.start();
+          tellPeers();
         });
+    loop.every(ASK_PAUSE, exchange::askIfUninformed);
     loop.every(TICK, this::tick);
     loop.every(SWEEP, this::sweep);
   }
 
+  private void tellPeers() {
+    exchange.tell();
+    Duration pause = NEWS_PAUSE_A_ROUTER.multipliedBy(registry.size());
+    loop.schedule(pause.compareTo(NEWS_PAUSE_MIN) > 0 ? pause : NEWS_PAUSE_MIN, this::tellPeers);
+  }
+
   private void tick() {
     if (pauseWatch.pausedSinceLastCall()) {
       LOGGER.atWarning().log("the process was paused or its clock was set; reading all anew");
@@ -212,4 +258,21 @@
       loop.schedule(TICK, this::awaitEnd);
     }
   }
+
+  /** Keeps the serving state up to date, and the other routers informed of departures. */
+  private final class ReplicaListener implements ReplicaTable.Listener {
+
+    @Override
+    public void onReplica(Replica replica) {
+      state.onReplica(replica);
+    }
+
+    @Override
+    public void onDeparture(Replica replica) {
+      state.onDeparture(replica);
+      if (replica.leaving()) {
+        exchange.departing(replica);
+      }
+    }
+  }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.router.serving;
 
 import java.time.Duration;
+import java.util.List;
 import org.coltsfootvale.core.model.HostPort;
 
 /**
@@ -12,6 +13,8 @@
  * @param readinessAddress where the platform asks whether it is ready
  * @param directoryAddress where callers ask which routers to use
  * @param peerAddress where other routers connect
+ * @param seeds where other routers may be found that the store does not tell of
+ * @param fleetSecret the secret that all routers of the fleet share
  * @param storeAddress the platform's store
  * @param stopTimeout how long a stop may take before the process is killed
  * @param repeatRatio the repeats that each request allows the fleet
@@ -25,8 +28,16 @@
     HostPort readinessAddress,
     HostPort directoryAddress,
     HostPort peerAddress,
+    List<HostPort> seeds,
+    String fleetSecret,
     HostPort storeAddress,
     Duration stopTimeout,
     double repeatRatio,
     double repeatAllowance,
-    Duration repeatWindow) {}
+    Duration repeatWindow) {
+
+  /** Copies the list. */
+  public EntrySettings {
+    seeds = List.copyOf(seeds);
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
@@ -5,9 +5,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.coltsfootvale.core.dispatch.DispatchOptions;
+import org.coltsfootvale.core.dispatch.PeerPlacements;
+import org.coltsfootvale.core.dispatch.PromptLocations;
 import org.coltsfootvale.core.dispatch.ReplicaState;
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
 import org.coltsfootvale.core.replica.Replica;
@@ -22,7 +23,8 @@
 
   private final DispatchOptions options;
   private final String ownDataCentre;
-  private final Supplier<Integer> routers;
+  private final PromptLocations locations;
+  private final PeerPlacements peers;
   private final LongSupplier nanoTime;
   private final UniformRandomProvider random;
   private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
@@ -35,19 +37,22 @@
    *
    * @param options the limits of waiting and placing
    * @param ownDataCentre the data centre of this router
-   * @param routers gives the number of live routers
+   * @param locations where parts of prompts are cached
+   * @param peers what the other routers have placed
    * @param nanoTime the monotonic clock in nanoseconds
    * @param random breaks ties
    */
   public ServingState(
       DispatchOptions options,
       String ownDataCentre,
-      Supplier<Integer> routers,
+      PromptLocations locations,
+      PeerPlacements peers,
       LongSupplier nanoTime,
       UniformRandomProvider random) {
     this.options = options;
     this.ownDataCentre = ownDataCentre;
-    this.routers = routers;
+    this.locations = locations;
+    this.peers = peers;
     this.nanoTime = nanoTime;
     this.random = random;
   }
@@ -67,7 +72,8 @@
   /** Returns the dispatcher of a service. */
   public ServiceDispatcher dispatcher(String service) {
     return dispatchers.computeIfAbsent(
-        service, name -> new ServiceDispatcher(options, ownDataCentre, routers, nanoTime, random));
+        service,
+        name -> new ServiceDispatcher(options, ownDataCentre, locations, peers, nanoTime, random));
   }
 
   @Override
@@ -85,6 +91,19 @@
     return dispatcher(replica.replica().service()).uses(replica);
   }
 
+  /** Returns this router's requests at each replica, by the hash of the replica's id. */
+  Map<Long, Integer> inFlightByReplica() {
+    Map<Long, Integer> inFlight = new HashMap<>();
+    for (ServiceDispatcher dispatcher : dispatchers.values()) {
+      for (ReplicaState replica : dispatcher.replicas()) {
+        if (replica.inFlight() > 0) {
+          inFlight.put(replica.nameHash(), replica.inFlight());
+        }
+      }
+    }
+    return inFlight;
+  }
+
   /** Moves waiting requests on. */
   public void tick() {
     dispatchers.values().forEach(ServiceDispatcher::placeWaiting);
