--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -191,6 +191,20 @@
     loop.every(SWEEP, this::sweep);
   }
 
+  /**
+   * Takes settings that were read anew. The addresses and limits of a running process are fixed, so
+   * that a change of them is reported and takes effect at the next start.
+   */
+  public void reload(EntrySettings latest) {
+    if (latest.equals(settings)) {
+      LOGGER.atInfo().log("the settings were read anew and are unchanged");
+    } else {
+      LOGGER.atWarning().log(
+          "the settings have changed; restart the router to apply them: %s, before: %s",
+          latest.withoutSecret(), settings.withoutSecret());
+    }
+  }
+
   private void tellPeers() {
     exchange.tell();
     Duration pause = NEWS_PAUSE_A_ROUTER.multipliedBy(registry.size());
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -40,4 +40,22 @@
   public EntrySettings {
     seeds = List.copyOf(seeds);
   }
+
+  /** Returns the same settings for a log line. */
+  EntrySettings withoutSecret() {
+    return new EntrySettings(
+        id,
+        dataCentre,
+        callerAddress,
+        readinessAddress,
+        directoryAddress,
+        peerAddress,
+        seeds,
+        "(secret)",
+        storeAddress,
+        stopTimeout,
+        repeatRatio,
+        repeatAllowance,
+        repeatWindow);
+  }
 }
