--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -265,8 +265,11 @@
   private void awaitEnd() {
     Duration answersLive = EntryPoints.TIME_TO_LIVE.multipliedBy(ANSWER_LIVES).plus(STOP_SLACK);
     boolean answersExpired = nanoTime.getAsLong() - stopBegunNanos >= answersLive.toNanos();
-    if (answersExpired && state.active() == 0) {
+    if (answersExpired) {
+      // Nobody is sent here any more; a request taken now might not be finished in time.
       callers.stop();
+    }
+    if (answersExpired && state.active() == 0) {
       stopped.countDown();
     } else {
       loop.schedule(TICK, this::awaitEnd);
