--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -6,8 +6,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.replica.Replica;
 import org.jspecify.annotations.Nullable;
 
@@ -26,6 +30,9 @@
   /** How much longer callers stay away, by chance, so that they do not return together. */
   private static final Duration RETRY_AFTER_SPREAD = Duration.ofMillis(500);
 
+  /** How long after its departure a replica still gives its cache to others. */
+  private static final Duration DEPARTED_SERVES = Duration.ofSeconds(2);
+
   private static final Comparator<Work> ORDER =
       Comparator.comparingInt(Work::urgency)
           .thenComparingLong(work -> work.arrivedNanos() + work.goalNanos());
@@ -37,6 +44,7 @@
   private final ReplicaChoice leastLoadChoice;
   private final PromptLocations locations;
   private final Map<String, ReplicaState> replicas = new HashMap<>();
+  private final Map<Long, Departed> departed = new HashMap<>();
   private final List<Work> waiting = new ArrayList<>();
 
   /**
@@ -80,6 +88,7 @@
     ReplicaState known = replicas.get(replica.id());
     if (known != null && known.replica().sameIncarnation(replica)) {
       replicas.remove(replica.id());
+      departed.put(known.nameHash(), new Departed(replica.address(), nanoTime.getAsLong()));
     }
   }
 
@@ -157,10 +166,34 @@
 
   private void place(Work work, ReplicaState replica) {
     replica.occupy(work, nanoTime.getAsLong());
+    Optional<HostPort> source = Optional.empty();
     if (!work.description().prompt().isEmpty()) {
+      source = cacheSource(work, replica);
       locations.placed(work.description().sharedPart(), replica);
     }
-    work.onPlaced(replica);
+    work.onPlaced(replica, source);
+  }
+
+  /** Finds a replica that holds the shared part of a prompt if the chosen one does not. */
+  private Optional<HostPort> cacheSource(Work work, ReplicaState chosen) {
+    if (work.description().sharedTokens() < options.costlyTokens()) {
+      return Optional.empty();
+    }
+    Set<Long> holders = locations.holders(work.description().sharedPart());
+    if (holders.contains(chosen.nameHash())) {
+      return Optional.empty();
+    }
+    long oldest = nanoTime.getAsLong() - DEPARTED_SERVES.toNanos();
+    departed.values().removeIf(gone -> gone.atNanos() - oldest < 0);
+    return Stream.concat(
+            replicas.values().stream()
+                .filter(state -> holders.contains(state.nameHash()))
+                .filter(state -> !state.health().suspended())
+                .map(state -> state.replica().address()),
+            departed.entrySet().stream()
+                .filter(gone -> holders.contains(gone.getKey()))
+                .map(gone -> gone.getValue().address()))
+        .findFirst();
   }
 
   private @Nullable ReplicaState choose(Work work) {
@@ -183,4 +216,7 @@
   public Duration retryAfter() {
     return RETRY_AFTER_MIN.plusNanos((long) (RETRY_AFTER_SPREAD.toNanos() * random.nextDouble()));
   }
+
+  /** A replica that gets no new work any more. */
+  private record Departed(HostPort address, long atNanos) {}
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
@@ -1,8 +1,10 @@
 package org.coltsfootvale.core.dispatch;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.coltsfootvale.core.course.RequestDescription;
+import org.coltsfootvale.core.model.HostPort;
 
 /**
  * A request that asks for a replica. Its callbacks are called at most once for each time it is
@@ -39,8 +41,12 @@
     this.goalNanos = goalNanos;
   }
 
-  /** Takes the replica that the request is to be sent to; the slot is already counted. */
-  protected abstract void onPlaced(ReplicaState replica);
+  /**
+   * Takes the replica that the request is to be sent to; the slot is already counted.
+   *
+   * @param cacheSource a replica that holds what the chosen one lacks of the prompt, if any
+   */
+  protected abstract void onPlaced(ReplicaState replica, Optional<HostPort> cacheSource);
 
   /** Takes note that no replica takes the request in time. */
   protected abstract void onTurnedAway(Refusal refusal);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -27,6 +27,7 @@
 import org.coltsfootvale.core.dispatch.ReplicaState;
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
 import org.coltsfootvale.core.dispatch.Work;
+import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.routing.Organisation;
 import org.coltsfootvale.router.http.AnswerReceiver;
 import org.coltsfootvale.router.http.ReplicaLink;
@@ -120,9 +121,9 @@
   }
 
   @Override
-  protected void onPlaced(ReplicaState replica) {
+  protected void onPlaced(ReplicaState replica, Optional<HostPort> cacheSource) {
     waiting = false;
-    Attempt started = new Attempt(replica);
+    Attempt started = new Attempt(replica, cacheSource);
     attempt = started;
     started.begin();
   }
@@ -208,7 +209,7 @@
     }
   }
 
-  private FullHttpRequest requestFor(ReplicaState replica) {
+  private FullHttpRequest requestFor(ReplicaState replica, Optional<HostPort> cacheSource) {
     HttpRequest head = request.head();
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(head.headers());
@@ -222,7 +223,8 @@
                 replica.replica().id(),
                 organisation.map(Organisation::name),
                 urgency(),
-                course.lastEventId()));
+                course.lastEventId(),
+                cacheSource));
     ByteBuf body = request.body().retainedDuplicate();
     if (body.isReadable() || !bodiless(head.method())) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
@@ -241,6 +243,7 @@
   private final class Attempt implements AnswerReceiver {
 
     private final ReplicaState replica;
+    private final Optional<HostPort> cacheSource;
     private final AnswerBody answer = new AnswerBody();
     private @Nullable ReplicaLink link;
     private @Nullable HttpResponse head;
@@ -250,8 +253,9 @@
     private boolean left;
     private long heardNanos;
 
-    Attempt(ReplicaState replica) {
+    Attempt(ReplicaState replica, Optional<HostPort> cacheSource) {
       this.replica = replica;
+      this.cacheSource = cacheSource;
     }
 
     void begin() {
@@ -286,7 +290,7 @@
       }
       link = opened;
       heardNanos = with.nanoTime().getAsLong();
-      opened.send(requestFor(replica), this);
+      opened.send(requestFor(replica, cacheSource), this);
       watchSilence();
     }
 
