Find the cached parts of prompts again after a start

Change: a router that starts asks two others for the placements they know; if none knows any, each replica is asked for its list of parts by one router.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
@@ -66,6 +66,29 @@
     return drained;
   }
 
+  /** Takes a replica's own list of the parts that it holds, and passes it on as news. */
+  public void listed(String replicaId, List<String> parts) {
+    long replica = RendezvousHashing.hash(replicaId);
+    for (String part : parts) {
+      long partHash = RendezvousHashing.hash(part);
+      record(partHash, replica);
+      news.add(new Placed(partHash, replica));
+    }
+  }
+
+  /** Returns all that is known, for a router that has just started. */
+  public List<Placed> all() {
+    List<Placed> all = new ArrayList<>();
+    usedNanosByPart.forEach(
+        (part, used) -> used.keySet().forEach(replica -> all.add(new Placed(part, replica))));
+    return all;
+  }
+
+  /** Returns whether nothing is known. */
+  public boolean isEmpty() {
+    return usedNanosByPart.isEmpty();
+  }
+
   /** Returns the hashes of the replicas that hold a part. */
   Set<Long> holders(String part) {
     Map<Long, Long> used = usedNanosByPart.get(RendezvousHashing.hash(part));
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerHandler.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerHandler.java
@@ -33,6 +33,11 @@
   /** Takes what another router has placed; ignored by routers that share no placements. */
   default void onServingNews(RouterIncarnation from, ServingNews news) {}
 
+  /** Answers a question for all parts of prompts that were placed. */
+  default ServingNews onPlacementsRequest(RouterIncarnation from) {
+    return ServingNews.getDefaultInstance();
+  }
+
   /** Answers a question for a prefix of the store; routers that follow none know nothing. */
   default PrefixReply onPrefixRequest(RouterIncarnation from, PrefixRequest request) {
     return PrefixReply.getDefaultInstance();
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/ServerChannel.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/ServerChannel.java
@@ -29,6 +29,7 @@
       case GOSSIP -> context.handler().onGossip(peer, message.getGossip());
       case DISPATCH_COUNTS -> context.handler().onDispatchCounts(peer, message.getDispatchCounts());
       case SERVING_NEWS -> context.handler().onServingNews(peer, message.getServingNews());
+      case PLACEMENTS_REQUEST -> answer(channel, message, () -> placementsReply());
       case PREFIX_REQUEST -> answer(channel, message, () -> prefixReply(message));
       case DEMAND_REPORT -> answer(channel, message, () -> demandReply(message));
       case NOTES_REQUEST -> answer(channel, message, () -> notesReply(message));
@@ -67,6 +68,10 @@
     return Envelope.newBuilder().setNotesReply(notes);
   }
 
+  private Envelope.Builder placementsReply() {
+    return Envelope.newBuilder().setServingNews(context.handler().onPlacementsRequest(peer));
+  }
+
   private Envelope.Builder prefixReply(Envelope message) {
     var reply = context.handler().onPrefixRequest(peer, message.getPrefixRequest());
     return Envelope.newBuilder().setPrefixReply(reply);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpCaller.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpCaller.java
@@ -24,6 +24,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootvale.core.model.HostPort;
@@ -77,6 +78,11 @@
     return reply;
   }
 
+  /** Closes the connections that are kept for further calls. */
+  public void close() {
+    List.copyOf(idle).forEach(Channel::close);
+  }
+
   private @Nullable Channel takeIdle() {
     Channel channel = idle.pollLast();
     while (channel != null && !channel.isActive()) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -11,9 +11,11 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.coltsfootvale.core.course.DefaultRepeatBudget;
 import org.coltsfootvale.core.course.RepeatBudget;
+import org.coltsfootvale.core.dispatch.CacheCensus;
 import org.coltsfootvale.core.dispatch.DispatchOptions;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
 import org.coltsfootvale.core.dispatch.PromptLocations;
+import org.coltsfootvale.core.error.Failures;
 import org.coltsfootvale.core.registry.LeaseKeeper;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.registry.RouterRegistry;
@@ -65,6 +67,9 @@
   private final ServingLoop loop;
   private final LongSupplier nanoTime = System::nanoTime;
   private final ServingState state;
+  private final PromptLocations locations;
+  private final CacheCensus census;
+  private final CacheInspector inspector;
   private final ReplicaTable replicas;
   private final RouterRegistry registry;
   private final ReplicaLinks links;
@@ -88,21 +93,25 @@
    * @param store the platform's store
    * @param protocol the headers of callers and replicas
    * @param formats the formats of what is kept in the store
+   * @param inspector asks replicas for what their caches hold
    */
   public EntryRouter(
       EntrySettings settings,
       ServingLoop loop,
       RevisionedStore store,
       CallerProtocol protocol,
-      EntryFormats formats) {
+      EntryFormats formats,
+      CacheInspector inspector) {
     this.settings = settings;
     this.loop = loop;
+    this.inspector = inspector;
     UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
     RouterAdvertisement self =
         new RouterAdvertisement(
             settings.id(), settings.dataCentre(), settings.callerAddress(), settings.peerAddress());
     registry = new RouterRegistry(self, LAPSE_GRACE, nanoTime);
-    PromptLocations locations = new PromptLocations(CACHE_LIFE, nanoTime);
+    locations = new PromptLocations(CACHE_LIFE, nanoTime);
+    census = new CacheCensus(settings.firstStart(), locations, nanoTime);
     PeerPlacements placements = new PeerPlacements(PEER_LIFE, nanoTime);
     state =
         new ServingState(
@@ -218,6 +227,10 @@
       replicaEntries.restart();
       routerEntries.restart();
     }
+    if (informed()) {
+      exchange.askPlacements();
+      inspectCaches();
+    }
     if (ready() && !advertised) {
       advertised = true;
       advertisement.start();
@@ -234,7 +247,31 @@
 
   /** Returns whether this router takes new callers. */
   private boolean ready() {
-    return !state.draining() && state.routing().isPresent() && replicaEntries.everRead();
+    return !state.draining() && informed() && census.finished();
+  }
+
+  private boolean informed() {
+    return state.routing().isPresent() && replicaEntries.everRead();
+  }
+
+  private void inspectCaches() {
+    List<String> routerIds = registry.routers().stream().map(RouterAdvertisement::id).toList();
+    for (Replica engine : census.due(settings.id(), routerIds, state.engines())) {
+      var unused =
+          inspector
+              .heldParts(engine.address())
+              .whenComplete(
+                  (parts, failure) -> {
+                    census.answered();
+                    if (failure == null) {
+                      locations.listed(engine.id(), parts);
+                    } else {
+                      LOGGER.atWarning().log(
+                          "the cache of %s is not known, its parts may be read again: %s",
+                          engine.id(), Failures.unwrap(failure).getMessage());
+                    }
+                  });
+    }
   }
 
   /**
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -16,6 +16,7 @@
  * @param seeds where other routers may be found that the store does not tell of
  * @param fleetSecret the secret that all routers of the fleet share
  * @param storeAddress the platform's store
+ * @param firstStart whether the whole deployment starts for the first time
  * @param stopTimeout how long a stop may take before the process is killed
  * @param repeatRatio the repeats that each request allows the fleet
  * @param repeatAllowance the repeats that the fleet may make in a window besides
@@ -31,6 +32,7 @@
     List<HostPort> seeds,
     String fleetSecret,
     HostPort storeAddress,
+    boolean firstStart,
     Duration stopTimeout,
     double repeatRatio,
     double repeatAllowance,
@@ -53,6 +55,7 @@
         seeds,
         "(secret)",
         storeAddress,
+        firstStart,
         stopTimeout,
         repeatRatio,
         repeatAllowance,
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -38,6 +38,7 @@
 import org.coltsfootvale.protocol.wire.Gossip;
 import org.coltsfootvale.protocol.wire.NotesReply;
 import org.coltsfootvale.protocol.wire.NotesRequest;
+import org.coltsfootvale.protocol.wire.PlacementsRequest;
 import org.coltsfootvale.protocol.wire.PrefixEntry;
 import org.coltsfootvale.protocol.wire.PrefixReply;
 import org.coltsfootvale.protocol.wire.PrefixRequest;
@@ -59,6 +60,9 @@
   /** How long a departure is told again and again, so that a lost message does no harm. */
   private static final Duration DEPARTURE_TOLD = Duration.ofSeconds(1);
 
+  /** How many routers a new one asks; more than one, as one may be down unnoticed. */
+  private static final int TELLERS = 2;
+
   private final RouterRegistry registry;
   private final ServingState state;
   private final PromptLocations locations;
@@ -71,6 +75,7 @@
   private final InstantSource clock;
   private final PeerTransport transport;
   private final Map<String, Long> departures = new HashMap<>();
+  private boolean placementsAsked;
   private boolean asking;
 
   FleetExchange(
@@ -221,10 +226,50 @@
       inFlight.put(news.getReplicas(i), news.getInFlight(i));
     }
     placements.heard(from.id().value(), inFlight);
+    takeParts(news);
+    news.getLeavingList().forEach(replicas::leaves);
+  }
+
+  private void takeParts(ServingNews news) {
     for (int i = 0; i < Math.min(news.getPartsCount(), news.getPartReplicasCount()); i++) {
       locations.heard(new PromptLocations.Placed(news.getParts(i), news.getPartReplicas(i)));
     }
-    news.getLeavingList().forEach(replicas::leaves);
+  }
+
+  /** Asks a few other routers, once after the start, where parts of prompts are. */
+  void askPlacements() {
+    List<HostPort> peers = new ArrayList<>(askable());
+    if (placementsAsked || peers.isEmpty()) {
+      return;
+    }
+    placementsAsked = true;
+    Envelope question =
+        Envelope.newBuilder().setPlacementsRequest(PlacementsRequest.getDefaultInstance()).build();
+    for (int asked = 0; asked < TELLERS && !peers.isEmpty(); asked++) {
+      HostPort peer = peers.remove((int) (random.getAsDouble() * peers.size()));
+      var unused =
+          transport
+              .request(peer, question, REQUEST_TIMEOUT)
+              .whenComplete(
+                  (reply, failure) -> {
+                    if (failure == null) {
+                      takeParts(reply.getServingNews());
+                    } else {
+                      LOGGER.atFine().log(
+                          "%s does not tell of placements: %s",
+                          peer, Failures.unwrap(failure).getMessage());
+                    }
+                  });
+    }
+  }
+
+  @Override
+  public ServingNews onPlacementsRequest(RouterIncarnation from) {
+    ServingNews.Builder news = ServingNews.newBuilder();
+    for (PromptLocations.Placed placed : locations.all()) {
+      news.addParts(placed.part()).addPartReplicas(placed.replica());
+    }
+    return news.build();
   }
 
   @Override
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
@@ -1,7 +1,9 @@
 package org.coltsfootvale.router.serving;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -13,6 +15,7 @@
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
+import org.coltsfootvale.core.routing.RoutedService;
 import org.coltsfootvale.core.routing.RoutingState;
 
 /**
@@ -104,6 +107,20 @@
     return inFlight;
   }
 
+  /** Returns the replicas in use that have a cache of prompts. */
+  List<Replica> engines() {
+    List<Replica> engines = new ArrayList<>();
+    routing.ifPresent(
+        known ->
+            dispatchers.forEach(
+                (service, dispatcher) -> {
+                  if (known.service(service).filter(RoutedService::engine).isPresent()) {
+                    dispatcher.replicas().forEach(state -> engines.add(state.replica()));
+                  }
+                }));
+    return engines;
+  }
+
   /** Moves waiting requests on. */
   public void tick() {
     dispatchers.values().forEach(ServiceDispatcher::placeWaiting);
