--- /dev/null
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/routing/RoutingStateTest.java
@@ -0,0 +1,90 @@
+package org.coltsfootvale.core.routing;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.testng.annotations.Test;
+
+public class RoutingStateTest {
+
+  private final RoutingState state =
+      new RoutingState(
+          3,
+          List.of(route("short", "/a/"), route("long", "/a/b/"), route("other", "/c/")),
+          List.of(new RoutedService("s", 10, false)),
+          Map.of("key", new Organisation("org", OptionalInt.empty())),
+          true,
+          new CallerLimits(1, 1, Duration.ZERO, Duration.ZERO));
+
+  @Test
+  public void theLongestPrefixThatBeginsThePathWins() {
+    assertEquals(routeOf("h.example", "/a/b/c"), Optional.of("long"));
+    assertEquals(routeOf("h.example", "/a/bc"), Optional.of("short"));
+  }
+
+  @Test
+  public void theHostIsComparedWithoutCaseAndPort() {
+    assertEquals(routeOf("H.Example:8080", "/c/x"), Optional.of("other"));
+  }
+
+  @Test
+  public void theQueryIsNoPartOfThePath() {
+    assertEquals(routeOf("h.example", "/x?/a/b/"), Optional.empty());
+  }
+
+  @Test
+  public void aPathWithoutTheSlashOfAPrefixDoesNotMatch() {
+    assertEquals(routeOf("h.example", "/a"), Optional.empty());
+  }
+
+  @Test
+  public void anUnknownHostHasNoRoutes() {
+    assertEquals(routeOf("x.example", "/a/"), Optional.empty());
+  }
+
+  @Test
+  public void sharesPickServicesByTheirWeight() {
+    Route split =
+        new Route(
+            "split",
+            "h",
+            "/",
+            Repeatability.IDEMPOTENT,
+            Duration.ZERO,
+            Duration.ZERO,
+            0,
+            List.of(new ServiceShare("most", 90), new ServiceShare("few", 10)),
+            1,
+            false,
+            false,
+            false);
+    assertEquals(split.serviceFor(0.0), "most");
+    assertEquals(split.serviceFor(0.899), "most");
+    assertEquals(split.serviceFor(0.9), "few");
+    assertEquals(split.serviceFor(0.999), "few");
+  }
+
+  private Optional<String> routeOf(String host, String target) {
+    return state.route(host, target).map(Route::name);
+  }
+
+  private static Route route(String name, String prefix) {
+    return new Route(
+        name,
+        "h.example",
+        prefix,
+        Repeatability.IDEMPOTENT,
+        Duration.ZERO,
+        Duration.ZERO,
+        0,
+        List.of(new ServiceShare("s", 1)),
+        1,
+        false,
+        false,
+        false);
+  }
+}
--- /dev/null
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
@@ -0,0 +1,140 @@
+package org.coltsfootvale.core.store;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+@Test(singleThreaded = true)
+public class PrefixFollowerTest {
+
+  private ScriptedStore store = new ScriptedStore();
+  private List<String> told = new ArrayList<>();
+  private List<Runnable> later = new ArrayList<>();
+  private PrefixFollower follower = create();
+
+  @BeforeMethod
+  void reset() {
+    store = new ScriptedStore();
+    told = new ArrayList<>();
+    later = new ArrayList<>();
+    follower = create();
+    follower.start();
+  }
+
+  @Test
+  public void aReadingOfSeveralPagesIsTakenAsOne() {
+    store.answer(new StorePage(List.of(entry("p/a", 3)), false, 10));
+    assertEquals(store.lastCall(), "read p/ after 'p/a'");
+    store.answer(new StorePage(List.of(entry("p/b", 4)), true, 12));
+    assertEquals(told, List.of("reading p/a@3 p/b@4"));
+    assertEquals(store.lastCall(), "changes of p/ after 10");
+  }
+
+  @Test
+  public void changesContinueFromTheRevisionThatTheStoreTells() {
+    readEmpty();
+    store.answer(new StoreChanges(List.of(entry("p/a", 11)), 15));
+    assertEquals(store.lastCall(), "changes of p/ after 15");
+    assertEquals(told, List.of("reading", "change p/a@11"));
+  }
+
+  @Test
+  public void aChangeOlderThanTheReadingIsIgnored() {
+    store.answer(new StorePage(List.of(entry("p/a", 9)), true, 10));
+    store.answer(new StoreChanges(List.of(entry("p/a", 8)), 11));
+    assertEquals(told, List.of("reading p/a@9"));
+  }
+
+  @Test
+  public void lostHistoryIsReadAnew() {
+    readEmpty();
+    store.fail(StoreException.Fault.HISTORY_GONE);
+    assertEquals(store.lastCall(), "read p/ after ''");
+    assertFalse(follower.current());
+  }
+
+  @Test
+  public void afterAnOutageTheStoresReturnIsToldBeforeItsChanges() {
+    readEmpty();
+    store.fail(StoreException.Fault.NO_ANSWER);
+    assertFalse(follower.current());
+    runLater();
+    store.fail(StoreException.Fault.REFUSED);
+    runLater();
+    store.answer(new StoreChanges(List.of(entry("p/a", 11)), 15));
+    assertEquals(told, List.of("reading", "returned", "change p/a@11"));
+    assertTrue(follower.current());
+  }
+
+  @Test
+  public void aFailedCallIsNotRepeatedAtOnce() {
+    store.fail(StoreException.Fault.REFUSED);
+    assertEquals(store.calls.size(), 1);
+    assertEquals(later.size(), 1);
+  }
+
+  @Test
+  public void theAnswerToACallFromBeforeARestartIsIgnored() {
+    follower.restart();
+    store.answer(new StorePage(List.of(entry("p/old", 1)), true, 10));
+    store.answer(new StorePage(List.of(entry("p/new", 2)), true, 20));
+    assertEquals(told, List.of("reading p/new@2"));
+  }
+
+  @Test
+  public void whatAnotherRouterKnowsIsTakenOnlyIfItIsNewer() {
+    follower.learn(List.of(entry("p/a", 5)), 7);
+    follower.learn(List.of(entry("p/b", 6)), 6);
+    assertEquals(told, List.of("reading p/a@5"));
+    assertTrue(follower.everRead());
+    assertEquals(follower.known(), List.of(entry("p/a", 5)));
+  }
+
+  private void readEmpty() {
+    store.answer(new StorePage(List.of(), true, 10));
+  }
+
+  private void runLater() {
+    later.remove(0).run();
+  }
+
+  private PrefixFollower create() {
+    PrefixFollower.Listener listener =
+        new PrefixFollower.Listener() {
+          @Override
+          public void onReading(List<StoreEntry> entries) {
+            StringBuilder text = new StringBuilder("reading");
+            entries.forEach(entry -> text.append(' ').append(describe(entry)));
+            told.add(text.toString());
+          }
+
+          @Override
+          public void onChange(StoreEntry entry) {
+            told.add("change " + describe(entry));
+          }
+
+          @Override
+          public void onStoreReturned() {
+            told.add("returned");
+          }
+        };
+    return new PrefixFollower(store, "p/", listener, (delay, task) -> later.add(task), () -> 0.5);
+  }
+
+  private static String describe(StoreEntry entry) {
+    return entry.key() + "@" + entry.revision();
+  }
+
+  private static final byte[] VALUE = "x".getBytes(StandardCharsets.UTF_8);
+
+  private static StoreEntry entry(String key, long revision) {
+    return new StoreEntry(key, Optional.of(VALUE), revision);
+  }
+}
