--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -299,6 +299,11 @@
     loop.stop();
   }
 
+  /** Ends at once and cuts off what is in progress. */
+  public void abort() {
+    loop.stop();
+  }
+
   private void awaitEnd() {
     Duration answersLive = EntryPoints.TIME_TO_LIVE.multipliedBy(ANSWER_LIVES).plus(STOP_SLACK);
     boolean answersExpired = nanoTime.getAsLong() - stopBegunNanos >= answersLive.toNanos();
