--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -0,0 +1,326 @@
+package org.coltsfootvale.router.serving;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.Future;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootvale.core.course.NextStep;
+import org.coltsfootvale.core.course.RequestCourse;
+import org.coltsfootvale.core.dispatch.ReplicaState;
+import org.coltsfootvale.core.dispatch.ServiceDispatcher;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.router.http.AnswerReceiver;
+import org.coltsfootvale.router.http.ReplicaLink;
+import org.jspecify.annotations.Nullable;
+
+/** One sending of a request to a replica, and its answer. Confined to the serving loop. */
+final class Attempt implements AnswerReceiver {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  private final Exchange exchange;
+  private final RequestCourse course;
+  private final Exchange.Surroundings with;
+  private final CallerConnection caller;
+  private final ServiceDispatcher dispatcher;
+  private final ReplicaState replica;
+  private final Optional<HostPort> cacheSource;
+  private final AnswerBody answer = new AnswerBody();
+  private @Nullable ReplicaLink link;
+  private @Nullable HttpResponse head;
+  private @Nullable AnswerTraits traits;
+  private @Nullable Future<?> silenceCheck;
+  private boolean begun;
+  private boolean left;
+  private long heardNanos;
+
+  /**
+   * Creates an attempt that has not begun.
+   *
+   * @param exchange the request
+   * @param course its course
+   * @param with what it works with
+   * @param caller the caller's connection
+   * @param replica the replica; its slot is counted already
+   * @param cacheSource a replica that it fetches parts of the prompt from, if any
+   */
+  Attempt(
+      Exchange exchange,
+      RequestCourse course,
+      Exchange.Surroundings with,
+      CallerConnection caller,
+      ReplicaState replica,
+      Optional<HostPort> cacheSource) {
+    this.exchange = exchange;
+    this.course = course;
+    this.with = with;
+    this.caller = caller;
+    this.dispatcher = with.state().dispatcher(course.service());
+    this.replica = replica;
+    this.cacheSource = cacheSource;
+  }
+
+  void begin() {
+    boolean fresh = !course.route().repeatable();
+    ReplicaLink kept = with.links().take(replica, fresh);
+    if (kept != null) {
+      send(kept);
+    } else {
+      with.links().connect(replica, this::onConnected);
+    }
+  }
+
+  private void onConnected(@Nullable ReplicaLink opened, @Nullable Throwable failure) {
+    if (left) {
+      if (opened != null) {
+        opened.cancel();
+      }
+    } else if (opened == null) {
+      replica.health().unreached();
+      exchange.avoid(replica.replica().id());
+      exchange.follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY);
+    } else {
+      send(opened);
+    }
+  }
+
+  private void send(ReplicaLink opened) {
+    if (!dispatcher.uses(replica)) {
+      opened.cancel();
+      exchange.follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY);
+      return;
+    }
+    link = opened;
+    heardNanos = with.nanoTime().getAsLong();
+    opened.send(exchange.requestFor(replica, cacheSource), this);
+    watchSilence();
+  }
+
+  /** Gives a silent replica up where the request may go on elsewhere. */
+  private void watchSilence() {
+    boolean movable = course.route().repeatable() || course.route().resumable();
+    if (left || !movable || course.sends() >= course.route().attemptsMax()) {
+      return;
+    }
+    long maxNanos = SilenceLimit.of(course.route()).toNanos();
+    long restNanos = heardNanos + maxNanos - with.nanoTime().getAsLong();
+    silenceCheck =
+        with.loop()
+            .eventLoop()
+            .schedule(this::onSilenceCheck, Math.max(0, restNanos), TimeUnit.NANOSECONDS);
+  }
+
+  private void onSilenceCheck() {
+    if (left) {
+      return;
+    }
+    long silentNanos = with.nanoTime().getAsLong() - heardNanos;
+    if (silentNanos >= SilenceLimit.of(course.route()).toNanos()) {
+      replica.health().failed();
+      lost("silent");
+    } else {
+      watchSilence();
+    }
+  }
+
+  void leave() {
+    left = true;
+    if (silenceCheck != null) {
+      silenceCheck.cancel(false);
+    }
+    if (link != null) {
+      link.cancel();
+    }
+    settle();
+  }
+
+  private void settle() {
+    if (!begun) {
+      begun = true;
+      replica.started(exchange);
+    }
+    answer.release();
+    dispatcher.release(replica);
+  }
+
+  @Override
+  public void onSending() {
+    course.onSent();
+  }
+
+  @Override
+  public boolean onHead(HttpResponse response) {
+    AnswerTraits read = with.protocol().traits(response);
+    heardNanos = with.nanoTime().getAsLong();
+    if (read.requestId().filter(id -> !id.equals(exchange.description().requestId())).isPresent()) {
+      return false;
+    }
+    head = response;
+    traits = read;
+    read.load().ifPresent(load -> dispatcher.reported(replica, load));
+    if (link != null) {
+      read.keepAlive().ifPresent(link::idleMax);
+    }
+    answer.begin(course.route().streaming() && isSuccess(response), course.route().resumable());
+    return true;
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    heardNanos = with.nanoTime().getAsLong();
+    answer.add(content);
+    if (answer.overflows()) {
+      lost("an answer larger than can be held");
+      return;
+    }
+    if (answer.streamed() && genuineSuccess()) {
+      deliverParts();
+    }
+  }
+
+  private void deliverParts() {
+    ByteBuf part = answer.nextPart();
+    while (part.isReadable() && !left) {
+      deliverPart(part);
+      part = answer.nextPart();
+    }
+  }
+
+  private void deliverPart(ByteBuf part) {
+    if (!begun) {
+      begun = true;
+      replica.started(exchange);
+    }
+    boolean first = !course.answerBegun();
+    if (answer.byEvents() && repeated(part)) {
+      return;
+    }
+    if (first && head != null) {
+      with.writer().deliverHead(caller, head);
+    }
+    course.onDelivered();
+    caller.writeContent(part);
+    if (link != null && !caller.writable()) {
+      link.reading(false);
+    }
+  }
+
+  /** Returns whether the caller already has an event; otherwise counts it as delivered. */
+  private boolean repeated(ByteBuf event) {
+    OptionalLong id = EventSplitter.idOf(event);
+    if (id.isEmpty()) {
+      return false;
+    }
+    boolean known =
+        course.lastEventId().isPresent() && id.getAsLong() <= course.lastEventId().getAsLong();
+    if (!known) {
+      course.onEventDelivered(id.getAsLong());
+    }
+    return known;
+  }
+
+  @Override
+  public void onEnd() {
+    HttpResponse response = head;
+    if (left || response == null || traits == null) {
+      return;
+    }
+    if (traits.notRun()) {
+      exchange.avoid(replica.replica().id());
+      finishAndFollow(course.onRejected());
+    } else if (!isSuccess(response)) {
+      onFailureAnswer(response);
+    } else if (!genuineSuccess() || answer.cut()) {
+      replica.health().failed();
+      lost("an answer that is not whole or not the replica's own");
+    } else {
+      replica.health().succeeded();
+      complete(response);
+    }
+  }
+
+  private void onFailureAnswer(HttpResponse response) {
+    int status = response.status().code();
+    boolean serverFault = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+    if (serverFault) {
+      replica.health().failed();
+    }
+    NextStep step = serverFault ? course.onFailureAnswer() : NextStep.DELIVER;
+    if (step != NextStep.DELIVER) {
+      exchange.avoid(replica.replica().id());
+      finishAndFollow(step);
+    } else if (course.answerBegun()) {
+      finishAndFollow(NextStep.BREAK_OFF);
+    } else if (promisesNotRun(status)) {
+      // The status would promise the caller what the replica has not said.
+      finishAndFollow(NextStep.FAIL);
+    } else {
+      complete(response);
+    }
+  }
+
+  /** Follows a decision after a whole answer, so that its connection is kept. */
+  private void finishAndFollow(NextStep step) {
+    link = null;
+    exchange.follow(step, HttpResponseStatus.BAD_GATEWAY);
+  }
+
+  private void complete(HttpResponse response) {
+    link = null;
+    exchange.complete(response, answer.streamed() ? answer.none() : answer.takeBody());
+  }
+
+  @Override
+  public void onLost(boolean sent, Throwable cause) {
+    if (left) {
+      return;
+    }
+    if (!sent) {
+      exchange.avoid(replica.replica().id());
+      exchange.follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY);
+      return;
+    }
+    replica.health().failed();
+    lost(String.valueOf(cause.getMessage()));
+  }
+
+  private void lost(String why) {
+    LOGGER.atFine().log(
+        "request %s has no whole answer of %s: %s",
+        exchange.description().requestId(), replica.replica().id(), why);
+    exchange.avoid(replica.replica().id());
+    exchange.follow(course.onLost(), HttpResponseStatus.BAD_GATEWAY);
+  }
+
+  private boolean genuineSuccess() {
+    return head != null && isSuccess(head) && traits != null && genuine(traits);
+  }
+
+  private boolean genuine(AnswerTraits read) {
+    return read.genuine() && read.requestId().isPresent();
+  }
+
+  /** Slows the replica down or lets it go on. */
+  void reading(boolean on) {
+    if (link != null) {
+      link.reading(on);
+    }
+  }
+
+  private static boolean isSuccess(HttpResponse response) {
+    int status = response.status().code();
+    return status >= 200 && status < 300;
+  }
+
+  /** Returns whether a status tells callers that the request has not run and never will. */
+  private static boolean promisesNotRun(int status) {
+    return status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+        || status == HttpResponseStatus.TOO_MANY_REQUESTS.code()
+        || status == HttpResponseStatus.REQUEST_TIMEOUT.code()
+        || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
@@ -124,31 +125,15 @@
             random);
     replicas = new ReplicaTable(LAPSE_GRACE, nanoTime, new ReplicaListener());
     links = new ReplicaLinks(loop, nanoTime);
-    RepeatBudget budget =
-        new DefaultRepeatBudget(
-            settings.repeatRatio(),
-            settings.repeatAllowance(),
-            settings.repeatWindow(),
-            () -> 1.0 / registry.size(),
-            nanoTime);
-    RequestStarter starter = new RequestStarter(state, protocol, budget, links, loop, nanoTime);
+    RequestStarter starter =
+        new RequestStarter(
+            state, protocol, repeatBudget(settings, registry), links, loop, nanoTime);
     callers = new CallerListener(loop, settings.callerAddress(), starter, state, nanoTime);
+    StoreFollowers following = new StoreFollowers(store, loop, random::nextDouble);
     desiredState =
-        new PrefixFollower(
-            store,
-            formats.desiredStateKey(),
-            new DesiredStateFeed(formats, state),
-            loop,
-            random::nextDouble);
-    replicaEntries =
-        new PrefixFollower(
-            store,
-            formats.replicaPrefix(),
-            new ReplicaFeed(formats, replicas),
-            loop,
-            random::nextDouble);
-    routerEntries =
-        new PrefixFollower(store, RouterRegistry.PREFIX, registry, loop, random::nextDouble);
+        following.follow(formats.desiredStateKey(), new DesiredStateFeed(formats, state));
+    replicaEntries = following.follow(formats.replicaPrefix(), new ReplicaFeed(formats, replicas));
+    routerEntries = following.follow(RouterRegistry.PREFIX, registry);
     advertisement =
         new LeaseKeeper(
             store,
@@ -170,17 +155,28 @@
             random::nextDouble,
             InstantSource.system());
     pauseWatch = new PauseWatch(nanoTime, System::currentTimeMillis);
-    EntryPoints entryPoints = new EntryPoints(registry, this::ready);
-    smallListeners =
-        List.of(
-            new HttpListener(
-                loop,
-                settings.directoryAddress(),
-                pipeline -> formats.installDirectory(pipeline, entryPoints)),
-            new HttpListener(
-                loop,
-                settings.readinessAddress(),
-                pipeline -> formats.installReadiness(pipeline, entryPoints)));
+    smallListeners = smallListeners(new EntryPoints(registry, this::ready), formats);
+  }
+
+  private static RepeatBudget repeatBudget(EntrySettings settings, RouterRegistry registry) {
+    return new DefaultRepeatBudget(
+        settings.repeatRatio(),
+        settings.repeatAllowance(),
+        settings.repeatWindow(),
+        () -> 1.0 / registry.size(),
+        System::nanoTime);
+  }
+
+  private List<HttpListener> smallListeners(EntryPoints entryPoints, EntryFormats formats) {
+    return List.of(
+        new HttpListener(
+            loop,
+            settings.directoryAddress(),
+            pipeline -> formats.installDirectory(pipeline, entryPoints)),
+        new HttpListener(
+            loop,
+            settings.readinessAddress(),
+            pipeline -> formats.installReadiness(pipeline, entryPoints)));
   }
 
   @Override
@@ -335,4 +331,12 @@
       }
     }
   }
+
+  /** Creates the followers of the store, which share all but their prefix and listener. */
+  private record StoreFollowers(RevisionedStore store, ServingLoop loop, DoubleSupplier random) {
+
+    PrefixFollower follow(String prefix, PrefixFollower.Listener listener) {
+      return new PrefixFollower(store, prefix, listener, loop, random);
+    }
+  }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -1,6 +1,5 @@
 package org.coltsfootvale.router.serving;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -17,7 +16,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.course.NextStep;
@@ -29,8 +27,6 @@
 import org.coltsfootvale.core.dispatch.Work;
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.routing.Organisation;
-import org.coltsfootvale.router.http.AnswerReceiver;
-import org.coltsfootvale.router.http.ReplicaLink;
 import org.coltsfootvale.router.http.ReplicaLinks;
 import org.coltsfootvale.router.http.ServingLoop;
 import org.jspecify.annotations.Nullable;
@@ -41,8 +37,6 @@
  */
 final class Exchange extends Work {
 
-  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
   /** What an exchange works with. */
   record Surroundings(
       ServingState state,
@@ -62,7 +56,6 @@
   private @Nullable Future<?> timeOver;
   private boolean waiting;
   private boolean ended;
-  private boolean headDelivered;
 
   Exchange(
       Surroundings with,
@@ -110,11 +103,6 @@
     return ended;
   }
 
-  /** Returns the course of the request. */
-  RequestCourse course() {
-    return course;
-  }
-
   private void place() {
     waiting = true;
     dispatcher.submit(this);
@@ -123,7 +111,7 @@
   @Override
   protected void onPlaced(ReplicaState replica, Optional<HostPort> cacheSource) {
     waiting = false;
-    Attempt started = new Attempt(replica, cacheSource);
+    Attempt started = new Attempt(this, course, with, caller, replica, cacheSource);
     attempt = started;
     started.begin();
   }
@@ -147,8 +135,8 @@
 
   /** Slows the replica down while the caller reads slowly. */
   void onCallerWritable(boolean writable) {
-    if (attempt != null && attempt.link != null) {
-      attempt.link.reading(writable);
+    if (attempt != null) {
+      attempt.reading(writable);
     }
   }
 
@@ -158,13 +146,27 @@
     }
   }
 
-  private void follow(NextStep step, HttpResponseStatus failure) {
+  /** Carries out what the course has decided after an attempt has ended. */
+  void follow(NextStep step, HttpResponseStatus failure) {
     leaveAttempt();
     switch (step) {
       case SEND_AGAIN, RESUME -> place();
       case REFUSE -> refuse(new Refusal(Refusal.Reason.REJECTED, dispatcher.retryAfter()));
       case FAIL, DELIVER -> fail(failure);
       case BREAK_OFF -> breakOff();
+      default -> throw new IllegalStateException("unknown step " + step);
+    }
+  }
+
+  /** Delivers the answer of a replica, or the end of one that was passed on in parts. */
+  void complete(HttpResponse response, ByteBuf body) {
+    boolean parts = course.answerBegun();
+    end();
+    if (parts) {
+      caller.writeEnd();
+    } else {
+      boolean headOnly = request.head().method().equals(HttpMethod.HEAD);
+      with.writer().deliver(caller, response, body, headOnly);
     }
   }
 
@@ -209,7 +211,8 @@
     }
   }
 
-  private FullHttpRequest requestFor(ReplicaState replica, Optional<HostPort> cacheSource) {
+  /** Returns the request as a replica gets it. */
+  FullHttpRequest requestFor(ReplicaState replica, Optional<HostPort> cacheSource) {
     HttpRequest head = request.head();
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(head.headers());
@@ -238,285 +241,4 @@
         || method.equals(HttpMethod.HEAD)
         || method.equals(HttpMethod.DELETE);
   }
-
-  /** The request at one replica. */
-  private final class Attempt implements AnswerReceiver {
-
-    private final ReplicaState replica;
-    private final Optional<HostPort> cacheSource;
-    private final AnswerBody answer = new AnswerBody();
-    private @Nullable ReplicaLink link;
-    private @Nullable HttpResponse head;
-    private @Nullable AnswerTraits traits;
-    private @Nullable Future<?> silenceCheck;
-    private boolean begun;
-    private boolean left;
-    private long heardNanos;
-
-    Attempt(ReplicaState replica, Optional<HostPort> cacheSource) {
-      this.replica = replica;
-      this.cacheSource = cacheSource;
-    }
-
-    void begin() {
-      boolean fresh = !course.route().repeatable();
-      ReplicaLink kept = with.links().take(replica, fresh);
-      if (kept != null) {
-        send(kept);
-      } else {
-        with.links().connect(replica, this::onConnected);
-      }
-    }
-
-    private void onConnected(@Nullable ReplicaLink opened, @Nullable Throwable failure) {
-      if (left) {
-        if (opened != null) {
-          opened.cancel();
-        }
-      } else if (opened == null) {
-        replica.health().unreached();
-        avoid(replica.replica().id());
-        follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY);
-      } else {
-        send(opened);
-      }
-    }
-
-    private void send(ReplicaLink opened) {
-      if (!dispatcher.uses(replica)) {
-        opened.cancel();
-        follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY);
-        return;
-      }
-      link = opened;
-      heardNanos = with.nanoTime().getAsLong();
-      opened.send(requestFor(replica, cacheSource), this);
-      watchSilence();
-    }
-
-    /** Gives a silent replica up where the request may go on elsewhere. */
-    private void watchSilence() {
-      boolean movable = course.route().repeatable() || course.route().resumable();
-      if (left || !movable || course.sends() >= course.route().attemptsMax()) {
-        return;
-      }
-      long maxNanos = SilenceLimit.of(course.route()).toNanos();
-      long restNanos = heardNanos + maxNanos - with.nanoTime().getAsLong();
-      silenceCheck =
-          with.loop()
-              .eventLoop()
-              .schedule(this::onSilenceCheck, Math.max(0, restNanos), TimeUnit.NANOSECONDS);
-    }
-
-    private void onSilenceCheck() {
-      if (left) {
-        return;
-      }
-      long silentNanos = with.nanoTime().getAsLong() - heardNanos;
-      if (silentNanos >= SilenceLimit.of(course.route()).toNanos()) {
-        replica.health().failed();
-        lost("silent");
-      } else {
-        watchSilence();
-      }
-    }
-
-    void leave() {
-      left = true;
-      if (silenceCheck != null) {
-        silenceCheck.cancel(false);
-      }
-      if (link != null) {
-        link.cancel();
-      }
-      settle();
-    }
-
-    private void settle() {
-      if (!begun) {
-        begun = true;
-        replica.started(Exchange.this);
-      }
-      answer.release();
-      dispatcher.release(replica);
-    }
-
-    @Override
-    public void onSending() {
-      course.onSent();
-    }
-
-    @Override
-    public boolean onHead(HttpResponse response) {
-      AnswerTraits read = with.protocol().traits(response);
-      heardNanos = with.nanoTime().getAsLong();
-      if (read.requestId().filter(id -> !id.equals(description().requestId())).isPresent()) {
-        return false;
-      }
-      head = response;
-      traits = read;
-      read.load().ifPresent(load -> dispatcher.reported(replica, load));
-      if (link != null) {
-        read.keepAlive().ifPresent(link::idleMax);
-      }
-      answer.begin(course.route().streaming() && isSuccess(response), course.route().resumable());
-      return true;
-    }
-
-    @Override
-    public void onContent(ByteBuf content) {
-      heardNanos = with.nanoTime().getAsLong();
-      answer.add(content);
-      if (answer.overflows()) {
-        lost("an answer larger than can be held");
-        return;
-      }
-      if (answer.streamed() && genuineSuccess()) {
-        deliverParts();
-      }
-    }
-
-    private void deliverParts() {
-      ByteBuf part = answer.nextPart();
-      while (part.isReadable() && !left) {
-        deliverPart(part);
-        part = answer.nextPart();
-      }
-    }
-
-    private void deliverPart(ByteBuf part) {
-      if (!begun) {
-        begun = true;
-        replica.started(Exchange.this);
-      }
-      if (answer.byEvents() && repeated(part)) {
-        return;
-      }
-      if (!headDelivered && head != null) {
-        headDelivered = true;
-        with.writer().deliverHead(caller, head);
-      }
-      course.onDelivered();
-      caller.writeContent(part);
-      if (link != null && !caller.writable()) {
-        link.reading(false);
-      }
-    }
-
-    /** Returns whether the caller already has an event; otherwise counts it as delivered. */
-    private boolean repeated(ByteBuf event) {
-      OptionalLong id = EventSplitter.idOf(event);
-      if (id.isEmpty()) {
-        return false;
-      }
-      boolean known =
-          course.lastEventId().isPresent() && id.getAsLong() <= course.lastEventId().getAsLong();
-      if (!known) {
-        course.onEventDelivered(id.getAsLong());
-      }
-      return known;
-    }
-
-    @Override
-    public void onEnd() {
-      HttpResponse response = head;
-      if (left || response == null || traits == null) {
-        return;
-      }
-      if (traits.notRun()) {
-        avoid(replica.replica().id());
-        finishAndFollow(course.onRejected());
-      } else if (!isSuccess(response)) {
-        onFailureAnswer(response);
-      } else if (!genuineSuccess() || answer.cut()) {
-        replica.health().failed();
-        lost("an answer that is not whole or not the replica's own");
-      } else {
-        replica.health().succeeded();
-        complete(response);
-      }
-    }
-
-    private void onFailureAnswer(HttpResponse response) {
-      int status = response.status().code();
-      boolean serverFault = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-      if (serverFault) {
-        replica.health().failed();
-      }
-      NextStep step = serverFault ? course.onFailureAnswer() : NextStep.DELIVER;
-      if (step != NextStep.DELIVER) {
-        avoid(replica.replica().id());
-        finishAndFollow(step);
-      } else if (course.answerBegun()) {
-        finishAndFollow(NextStep.BREAK_OFF);
-      } else if (promisesNotRun(status)) {
-        // The status would promise the caller what the replica has not said.
-        finishAndFollow(NextStep.FAIL);
-      } else {
-        complete(response);
-      }
-    }
-
-    /** Follows a decision after a whole answer, so that its connection is kept. */
-    private void finishAndFollow(NextStep step) {
-      link = null;
-      follow(step, HttpResponseStatus.BAD_GATEWAY);
-    }
-
-    private void complete(HttpResponse response) {
-      link = null;
-      ByteBuf body = answer.streamed() ? answer.none() : answer.takeBody();
-      boolean parts = headDelivered;
-      end();
-      if (parts) {
-        caller.writeEnd();
-      } else {
-        boolean headOnly = request.head().method().equals(HttpMethod.HEAD);
-        with.writer().deliver(caller, response, body, headOnly);
-      }
-    }
-
-    @Override
-    public void onLost(boolean sent, Throwable cause) {
-      if (left) {
-        return;
-      }
-      if (!sent) {
-        avoid(replica.replica().id());
-        follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY);
-        return;
-      }
-      replica.health().failed();
-      lost(String.valueOf(cause.getMessage()));
-    }
-
-    private void lost(String why) {
-      LOGGER.atFine().log(
-          "request %s has no whole answer of %s: %s",
-          description().requestId(), replica.replica().id(), why);
-      avoid(replica.replica().id());
-      follow(course.onLost(), HttpResponseStatus.BAD_GATEWAY);
-    }
-
-    private boolean genuineSuccess() {
-      return head != null && isSuccess(head) && traits != null && genuine(traits);
-    }
-
-    private boolean genuine(AnswerTraits read) {
-      return read.genuine() && read.requestId().isPresent();
-    }
-  }
-
-  private static boolean isSuccess(HttpResponse response) {
-    int status = response.status().code();
-    return status >= 200 && status < 300;
-  }
-
-  /** Returns whether a status tells callers that the request has not run and never will. */
-  private static boolean promisesNotRun(int status) {
-    return status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
-        || status == HttpResponseStatus.TOO_MANY_REQUESTS.code()
-        || status == HttpResponseStatus.REQUEST_TIMEOUT.code()
-        || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-  }
 }
--- a/config/shares.sh
+++ b/config/shares.sh
@@ -11,7 +11,8 @@
 tests=$(lines '*/src/test/java/*.java')
 core=coltsfootvale-core/src/main/java/org/coltsfootvale/core
 decisions=$(lines "$core/placement/*" "$core/admission/*" "$core/retry/*" "$core/once/*" \
-  "$core/membership/*" "$core/gossip/*" "$core/release/*" "$core/orders/*" "$core/entry/*")
+  "$core/membership/*" "$core/gossip/*" "$core/release/*" "$core/orders/*" "$core/entry/*" "$core/routing/*" \
+  "$core/replica/*" "$core/course/*" "$core/dispatch/*" "$core/store/*" "$core/registry/*")
 scaffolding=$(lines 'coltsfootvale-testkit/src/main/java/*.java')
 
 echo "code: $main lines, of them decisions: $decisions ($((100 * decisions / main))%), stand-ins: $scaffolding ($((100 * scaffolding / main))%)"
