Fetch parts of a few hundred tokens, whole chains of a prompt, and know caches by start

A replica that restarted under its id was still taken to hold what it held before. Ruled out: load estimates (busiest 1.1 to 1.2 of the mean), eviction (the parts of all kinds fit one replica's memory). Change: parts from 200 tokens on are fetched (a set-up takes 3 ms, in which an engine reads about 180 tokens); every beginning of a prompt is looked for, the longest first; caches are known by id and start of their replica. Hashes of parts are computed once a request, sums of the peers' counts are kept as news arrive.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/DispatchOptions.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/DispatchOptions.java
@@ -10,6 +10,7 @@
  * @param loadBoundMax the load relative to the mean up to which a replica gets any request
  * @param loadBoundExtra the requests that a replica may have above either
  * @param costlyTokens the tokens of shared parts from which on reading them again is dear
+ * @param fetchTokensMin the tokens from which on a part is fetched from a replica that holds it
  * @param reportAgeMax the age from which on a replica's own count is ignored
  * @param failureShareMax the share of failures from which on a replica gets less work
  * @param silenceMax how long a replica may be silent with unanswered requests before new ones go
@@ -24,6 +25,7 @@
     double loadBoundMax,
     double loadBoundExtra,
     int costlyTokens,
+    int fetchTokensMin,
     Duration reportAgeMax,
     double failureShareMax,
     Duration silenceMax,
@@ -34,7 +36,8 @@
   /**
    * Returns the defaults. The load bound stays below the twice of the mean that operators allow;
    * the reading speed is the one of the engines that the sites describe; the remaining figures
-   * follow from the goals of 0.1 to 1 s for a first event.
+   * follow from the goals of 0.1 to 1 s for a first event. Setting up a fetch takes about 3 ms, in
+   * which an engine reads some 180 tokens.
    */
   public static DispatchOptions defaults() {
     return new DispatchOptions(
@@ -42,6 +45,7 @@
         1.9,
         2.0,
         1_500,
+        200,
         Duration.ofMillis(1_500),
         0.5,
         Duration.ofMillis(700),
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
@@ -14,6 +14,7 @@
   private final long lifeNanos;
   private final LongSupplier nanoTime;
   private final Map<String, Heard> heardByPeer = new HashMap<>();
+  private final Map<Long, Integer> totals = new HashMap<>();
 
   /**
    * Creates empty knowledge.
@@ -28,22 +29,32 @@
 
   /** Takes the requests of another router, by replica; replicas not named have none. */
   public void heard(String peer, Map<Long, Integer> inFlightByReplica) {
-    heardByPeer.put(peer, new Heard(nanoTime.getAsLong(), Map.copyOf(inFlightByReplica)));
+    Heard latest = new Heard(nanoTime.getAsLong(), Map.copyOf(inFlightByReplica));
+    Heard before = heardByPeer.put(peer, latest);
+    if (before != null) {
+      before.inFlightByReplica().forEach((replica, count) -> addToTotal(replica, -count));
+    }
+    latest.inFlightByReplica().forEach(this::addToTotal);
   }
 
   /** Returns the requests of all other routers at a replica. */
   int inFlightAt(long replicaHash) {
-    int total = 0;
-    for (Heard heard : heardByPeer.values()) {
-      total += heard.inFlightByReplica().getOrDefault(replicaHash, 0);
-    }
-    return total;
+    return totals.getOrDefault(replicaHash, 0);
   }
 
   /** Forgets routers that have been silent for too long. */
   public void expire() {
     long now = nanoTime.getAsLong();
-    heardByPeer.values().removeIf(heard -> now - heard.atNanos() > lifeNanos);
+    boolean removed = heardByPeer.values().removeIf(heard -> now - heard.atNanos() > lifeNanos);
+    if (removed) {
+      totals.clear();
+      heardByPeer.values().forEach(heard -> heard.inFlightByReplica().forEach(this::addToTotal));
+    }
+  }
+
+  private void addToTotal(long replicaHash, int count) {
+    totals.merge(replicaHash, count, Integer::sum);
+    totals.remove(replicaHash, 0);
   }
 
   /** Returns the number of other routers that are heard. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
@@ -82,16 +82,15 @@
   }
 
   private List<Candidate> candidates(Work work, Collection<ReplicaState> replicas, long now) {
-    String part = work.description().sharedPart();
-    long partHash = RendezvousHashing.hash(part);
-    Set<Long> holders = locations.holders(part);
+    long partHash = work.sharedParts().get(0).hash();
+    Set<Long> holders = locations.holders(partHash);
     List<Candidate> candidates = new ArrayList<>(replicas.size());
     for (ReplicaState replica : replicas) {
       double load = load(replica, now);
       boolean full = load >= replica.replica().slots();
       if (!full && !work.avoids(replica) && !replica.health().suspended()) {
         double rank = RendezvousHashing.score(partHash, replica.nameHash(), 1.0);
-        boolean holds = holders.contains(replica.nameHash());
+        boolean holds = holders.contains(replica.cacheHash());
         candidates.add(new Candidate(replica, load + readingLoad(replica), rank, holds));
       }
     }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
@@ -8,17 +8,18 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.support.RendezvousHashing;
 
 /**
  * Which replicas hold which parts of prompts in their cache, as far as the requests of this router
- * and the news of its peers tell. Parts and replicas are known by hashes of their ids. Confined to
- * one thread.
+ * and the news of its peers tell. Parts are known by hashes of their ids, caches by hashes of the
+ * id and the start of their replica, as a restart empties them. Confined to one thread.
  */
 public final class PromptLocations {
 
-  /** A part that was placed at a replica. */
-  public record Placed(long part, long replica) {}
+  /** A part that was placed at a replica, in hashes. */
+  public record Placed(long part, long cache) {}
 
   /** The parts that are remembered; the one that was used the longest time ago yields. */
   private static final int PARTS_MAX = 20_000;
@@ -48,15 +49,14 @@
   }
 
   /** Takes note that this router sends a request with a part to a replica. */
-  void placed(String part, ReplicaState replica) {
-    long partHash = RendezvousHashing.hash(part);
-    record(partHash, replica.nameHash());
-    news.add(new Placed(partHash, replica.nameHash()));
+  void placed(long part, ReplicaState replica) {
+    record(part, replica.cacheHash());
+    news.add(new Placed(part, replica.cacheHash()));
   }
 
   /** Takes note that another router has sent a request with a part to a replica. */
   public void heard(Placed placed) {
-    record(placed.part(), placed.replica());
+    record(placed.part(), placed.cache());
   }
 
   /** Returns what was placed since the last call, for the other routers. */
@@ -67,12 +67,12 @@
   }
 
   /** Takes a replica's own list of the parts that it holds, and passes it on as news. */
-  public void listed(String replicaId, List<String> parts) {
-    long replica = RendezvousHashing.hash(replicaId);
+  public void listed(Replica replica, List<String> parts) {
+    long cache = ReplicaState.cacheHash(replica);
     for (String part : parts) {
       long partHash = RendezvousHashing.hash(part);
-      record(partHash, replica);
-      news.add(new Placed(partHash, replica));
+      record(partHash, cache);
+      news.add(new Placed(partHash, cache));
     }
   }
 
@@ -80,7 +80,7 @@
   public List<Placed> all() {
     List<Placed> all = new ArrayList<>();
     usedNanosByPart.forEach(
-        (part, used) -> used.keySet().forEach(replica -> all.add(new Placed(part, replica))));
+        (part, used) -> used.keySet().forEach(cache -> all.add(new Placed(part, cache))));
     return all;
   }
 
@@ -89,9 +89,9 @@
     return usedNanosByPart.isEmpty();
   }
 
-  /** Returns the hashes of the replicas that hold a part. */
-  Set<Long> holders(String part) {
-    Map<Long, Long> used = usedNanosByPart.get(RendezvousHashing.hash(part));
+  /** Returns the hashes of the caches that hold a part. */
+  Set<Long> holders(long part) {
+    Map<Long, Long> used = usedNanosByPart.get(part);
     if (used == null) {
       return Set.of();
     }
@@ -105,9 +105,9 @@
     return used.keySet();
   }
 
-  private void record(long part, long replica) {
+  private void record(long part, long cache) {
     usedNanosByPart
         .computeIfAbsent(part, hash -> new LinkedHashMap<>())
-        .put(replica, nanoTime.getAsLong());
+        .put(cache, nanoTime.getAsLong());
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -9,6 +9,7 @@
 
   private final ReplicaHealth health;
   private final long nameHash;
+  private final long cacheHash;
   private Replica replica;
   private int inFlight;
   private int unstarted;
@@ -22,6 +23,7 @@
     this.replica = replica;
     this.health = health;
     this.nameHash = RendezvousHashing.hash(replica.id());
+    this.cacheHash = cacheHash(replica);
   }
 
   /** Returns the record of the replica. */
@@ -48,6 +50,15 @@
     return nameHash;
   }
 
+  /** Returns the hash of the replica's cache; a restarted replica has another cache. */
+  long cacheHash() {
+    return cacheHash;
+  }
+
+  static long cacheHash(Replica replica) {
+    return RendezvousHashing.hash(replica.id() + '@' + replica.bornMillis());
+  }
+
   void occupy(Work work, long nowNanos) {
     if (inFlight == 0) {
       occupiedNanos = nowNanos;
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -88,7 +88,7 @@
     ReplicaState known = replicas.get(replica.id());
     if (known != null && known.replica().sameIncarnation(replica)) {
       replicas.remove(replica.id());
-      departed.put(known.nameHash(), new Departed(replica.address(), nanoTime.getAsLong()));
+      departed.put(known.cacheHash(), new Departed(replica.address(), nanoTime.getAsLong()));
     }
   }
 
@@ -169,25 +169,32 @@
     Optional<HostPort> source = Optional.empty();
     if (!work.description().prompt().isEmpty()) {
       source = cacheSource(work, replica);
-      locations.placed(work.description().sharedPart(), replica);
+      work.sharedParts().forEach(part -> locations.placed(part.hash(), replica));
     }
     work.onPlaced(replica, source);
   }
 
-  /** Finds a replica that holds the shared part of a prompt if the chosen one does not. */
+  /** Finds a replica that holds more of a prompt's beginning than the chosen one. */
   private Optional<HostPort> cacheSource(Work work, ReplicaState chosen) {
-    if (work.description().sharedTokens() < options.costlyTokens()) {
-      return Optional.empty();
-    }
-    Set<Long> holders = locations.holders(work.description().sharedPart());
-    if (holders.contains(chosen.nameHash())) {
-      return Optional.empty();
+    for (Work.SharedPart part : work.sharedParts()) {
+      Set<Long> holders = locations.holders(part.hash());
+      if (holders.contains(chosen.cacheHash()) || part.tokens() < options.fetchTokensMin()) {
+        return Optional.empty();
+      }
+      Optional<HostPort> source = reachable(holders);
+      if (source.isPresent()) {
+        return source;
+      }
     }
+    return Optional.empty();
+  }
+
+  private Optional<HostPort> reachable(Set<Long> holders) {
     long oldest = nanoTime.getAsLong() - DEPARTED_SERVES.toNanos();
     departed.values().removeIf(gone -> gone.atNanos() - oldest < 0);
     return Stream.concat(
             replicas.values().stream()
-                .filter(state -> holders.contains(state.nameHash()))
+                .filter(state -> holders.contains(state.cacheHash()))
                 .filter(state -> !state.health().suspended())
                 .map(state -> state.replica().address()),
             departed.entrySet().stream()
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
@@ -1,10 +1,14 @@
 package org.coltsfootvale.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.coltsfootvale.core.course.PromptPart;
 import org.coltsfootvale.core.course.RequestDescription;
 import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.support.RendezvousHashing;
 
 /**
  * A request that asks for a replica. Its callbacks are called at most once for each time it is
@@ -17,6 +21,7 @@
   private final long arrivedNanos;
   private final long deadlineNanos;
   private final long goalNanos;
+  private final List<SharedPart> sharedParts;
   private final Set<String> triedReplicas = new HashSet<>();
 
   /**
@@ -39,6 +44,7 @@
     this.arrivedNanos = arrivedNanos;
     this.deadlineNanos = deadlineNanos;
     this.goalNanos = goalNanos;
+    this.sharedParts = sharedParts(description);
   }
 
   /**
@@ -56,6 +62,30 @@
     return description;
   }
 
+  /** Returns the parts of the prompt that other requests share, the longest beginning first. */
+  final List<SharedPart> sharedParts() {
+    return sharedParts;
+  }
+
+  private static List<SharedPart> sharedParts(RequestDescription description) {
+    List<SharedPart> parts = new ArrayList<>();
+    List<PromptPart> prompt = description.prompt();
+    int tokens = 0;
+    for (int i = 0; i < Math.max(prompt.size() - 1, Math.min(prompt.size(), 1)); i++) {
+      tokens += prompt.get(i).tokens();
+      parts.add(0, new SharedPart(RendezvousHashing.hash(prompt.get(i).id()), tokens));
+    }
+    return List.copyOf(parts);
+  }
+
+  /**
+   * A beginning of a prompt.
+   *
+   * @param hash the hash of its last part's id
+   * @param tokens the tokens up to the end of that part
+   */
+  record SharedPart(long hash, int tokens) {}
+
   /** Returns the rank, 0 is the most urgent. */
   public final int urgency() {
     return urgency;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -261,7 +261,7 @@
                   (parts, failure) -> {
                     census.answered();
                     if (failure == null) {
-                      locations.listed(engine.id(), parts);
+                      locations.listed(engine, parts);
                     } else {
                       LOGGER.atWarning().log(
                           "the cache of %s is not known, its parts may be read again: %s",
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -141,7 +141,7 @@
         .inFlightByReplica()
         .forEach((replica, inFlight) -> news.addReplicas(replica).addInFlight(inFlight));
     for (PromptLocations.Placed placed : locations.drainNews()) {
-      news.addParts(placed.part()).addPartReplicas(placed.replica());
+      news.addParts(placed.part()).addPartReplicas(placed.cache());
     }
     return news.addAllLeaving(departures.keySet()).build();
   }
@@ -267,7 +267,7 @@
   public ServingNews onPlacementsRequest(RouterIncarnation from) {
     ServingNews.Builder news = ServingNews.newBuilder();
     for (PromptLocations.Placed placed : locations.all()) {
-      news.addParts(placed.part()).addPartReplicas(placed.replica());
+      news.addParts(placed.part()).addPartReplicas(placed.cache());
     }
     return news.build();
   }
