--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/DefaultRepeatBudget.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/DefaultRepeatBudget.java
@@ -53,16 +53,22 @@
   @Override
   public boolean tryRepeat(String service) {
     long now = nanoTime.getAsLong();
-    Counts counts = counts(service);
-    double limit =
-        SPENT_SHARE * (ratio * counts.requests.sum(now) + allowance * shareOfFleet.getAsDouble());
-    if (counts.repeats.sum(now) + 1 > limit) {
+    if (left(service) < 1) {
       return false;
     }
-    counts.repeats.add(now);
+    counts(service).repeats.add(now);
     return true;
   }
 
+  @Override
+  public double left(String service) {
+    long now = nanoTime.getAsLong();
+    Counts counts = counts(service);
+    double limit =
+        SPENT_SHARE * (ratio * counts.requests.sum(now) + allowance * shareOfFleet.getAsDouble());
+    return limit - counts.repeats.sum(now);
+  }
+
   private Counts counts(String service) {
     return countsByService.computeIfAbsent(service, name -> new Counts(windowNanos));
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RepeatBudget.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RepeatBudget.java
@@ -8,4 +8,7 @@
 
   /** Takes one repeat for a service; returns false if none may be spent now. */
   boolean tryRepeat(String service);
+
+  /** Returns the repeats that may still be spent on a service now. */
+  double left(String service);
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestCourse.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestCourse.java
@@ -50,6 +50,11 @@
     return sends;
   }
 
+  /** Returns the repeats that this router may still spend on the service now. */
+  public double repeatsLeft() {
+    return budget.left(service);
+  }
+
   /** Returns whether the request may have run. */
   public boolean mayHaveRun() {
     return mayHaveRun;
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/Decision.java
@@ -0,0 +1,71 @@
+package org.coltsfootvale.core.decision;
+
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * One decision with the inputs that led to it. Values are texts, numbers or truth values. Keys of
+ * organisations and texts of prompts do not belong here.
+ */
+public final class Decision {
+
+  /** The field that holds the id of the request. */
+  public static final String REQUEST = "request";
+
+  private final DecisionEvent event;
+  private final Map<String, Object> fields = new LinkedHashMap<>();
+
+  private Decision(DecisionEvent event) {
+    this.event = event;
+  }
+
+  /** Starts a decision without fields. */
+  public static Decision of(DecisionEvent event) {
+    return new Decision(event);
+  }
+
+  /** Starts a decision that concerns a request. */
+  public static Decision of(DecisionEvent event, String requestId) {
+    return new Decision(event).with(REQUEST, requestId);
+  }
+
+  /** Adds a text. */
+  public Decision with(String name, String value) {
+    fields.put(name, value);
+    return this;
+  }
+
+  /** Adds a whole number. */
+  public Decision with(String name, long value) {
+    fields.put(name, value);
+    return this;
+  }
+
+  /** Adds a number, rounded to hundredths. */
+  public Decision with(String name, double value) {
+    fields.put(name, Math.round(value * 100) / 100.0);
+    return this;
+  }
+
+  /** Adds a truth value. */
+  public Decision with(String name, boolean value) {
+    fields.put(name, value);
+    return this;
+  }
+
+  /** Returns the event. */
+  public DecisionEvent event() {
+    return event;
+  }
+
+  /** Returns the fields in the order of their addition. */
+  public Map<String, Object> fields() {
+    return Collections.unmodifiableMap(fields);
+  }
+
+  @Override
+  public String toString() {
+    return event.wireName() + fields;
+  }
+}
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.core.dispatch;
 
 import java.util.Collection;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
@@ -36,10 +37,13 @@
   }
 
   @Override
-  public @Nullable ReplicaState choose(Work work, Collection<ReplicaState> replicas) {
+  public @Nullable Placement choose(Work work, Collection<ReplicaState> replicas) {
     long now = nanoTime.getAsLong();
     ReplicaState best = null;
     double bestCost = Double.POSITIVE_INFINITY;
+    double bestLoad = 0;
+    double totalLoad = 0;
+    int candidates = 0;
     for (ReplicaState replica : replicas) {
       if (work.avoids(replica) || replica.health().suspended()) {
         continue;
@@ -47,9 +51,11 @@
       int slots = Math.max(1, replica.replica().slots());
       double load =
           replica.load(peers.inFlightAt(replica.nameHash()), now, options.reportAgeMax().toNanos());
+      totalLoad += load;
       if (load >= 2.0 * slots) {
         continue;
       }
+      candidates++;
       double cost = load / slots + random.nextDouble() * RANDOM;
       cost += replica.health().failureShare() * failureCost(replica);
       if (!replica.replica().dataCentre().equals(ownDataCentre)) {
@@ -61,9 +67,15 @@
       if (cost < bestCost) {
         best = replica;
         bestCost = cost;
+        bestLoad = load;
       }
     }
-    return best;
+    if (best == null) {
+      return null;
+    }
+    double meanLoad = totalLoad / replicas.size();
+    return new Placement(
+        best, Placement.Basis.LEAST_LOADED, bestLoad, meanLoad, candidates, Optional.empty());
   }
 
   /** A replica that fails more often than it should costs as much as a full one. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
@@ -38,7 +38,7 @@
   }
 
   /** Returns the requests of all other routers at a replica. */
-  int inFlightAt(long replicaHash) {
+  public int inFlightAt(long replicaHash) {
     return totals.getOrDefault(replicaHash, 0);
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -36,29 +37,37 @@
   }
 
   @Override
-  public @Nullable ReplicaState choose(Work work, Collection<ReplicaState> replicas) {
+  public @Nullable Placement choose(Work work, Collection<ReplicaState> replicas) {
     long now = nanoTime.getAsLong();
     List<Candidate> open = candidates(work, replicas, now);
     List<Candidate> sound = open.stream().filter(candidate -> sound(candidate, now)).toList();
     return choose(work, sound.isEmpty() ? open : sound, mean(replicas, now));
   }
 
-  private @Nullable ReplicaState choose(Work work, List<Candidate> candidates, double meanLoad) {
+  private @Nullable Placement choose(Work work, List<Candidate> candidates, double meanLoad) {
     boolean costly = work.description().sharedTokens() >= options.costlyTokens();
     double factor = costly ? options.loadBoundMax() : options.loadBound();
     double bound = factor * meanLoad + options.loadBoundExtra();
     Candidate holder =
         leastLoaded(candidates, candidate -> candidate.holds() && fits(candidate, bound));
     if (holder != null) {
-      return holder.replica();
+      return placement(holder, Placement.Basis.HOLDS_PART, candidates, meanLoad);
     }
     double spillBound = options.loadBound() * meanLoad + options.loadBoundExtra();
     Candidate home = highestRanked(candidates, candidate -> fits(candidate, spillBound));
     if (home != null) {
-      return home.replica();
+      return placement(home, Placement.Basis.RANKED_FIRST, candidates, meanLoad);
     }
     Candidate least = leastLoaded(candidates, candidate -> true);
-    return least == null ? null : least.replica();
+    return least == null
+        ? null
+        : placement(least, Placement.Basis.LEAST_LOADED, candidates, meanLoad);
+  }
+
+  private static Placement placement(
+      Candidate chosen, Placement.Basis basis, List<Candidate> candidates, double meanLoad) {
+    return new Placement(
+        chosen.replica(), basis, chosen.load(), meanLoad, candidates.size(), Optional.empty());
   }
 
   private static boolean fits(Candidate candidate, double bound) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaChoice.java
@@ -8,5 +8,5 @@
 public interface ReplicaChoice {
 
   /** Returns the replica for a request, or null if none takes it now. */
-  @Nullable ReplicaState choose(Work work, Collection<ReplicaState> replicas);
+  @Nullable Placement choose(Work work, Collection<ReplicaState> replicas);
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaHealth.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaHealth.java
@@ -1,5 +1,6 @@
 package org.coltsfootvale.core.dispatch;
 
+import java.time.Duration;
 import java.util.function.LongSupplier;
 
 /**
@@ -33,12 +34,16 @@
     this.judgedNanos = suspendedUntilNanos;
   }
 
-  /** Takes note that a connection failed before a request was sent, or was lost without answer. */
-  public void unreached() {
+  /**
+   * Takes note that a connection failed before a request was sent, or was lost without answer;
+   * returns how long new requests keep away.
+   */
+  public Duration unreached() {
     long backoffNanos =
         Math.min(BACKOFF_MAX_NANOS, BACKOFF_MIN_NANOS << Math.min(unreachedInRow, 10));
     unreachedInRow++;
     suspendedUntilNanos = nanoTime.getAsLong() + backoffNanos;
+    return Duration.ofNanos(backoffNanos);
   }
 
   /** Takes note that the replica has sent something. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -1,5 +1,6 @@
 package org.coltsfootvale.core.dispatch;
 
+import java.util.OptionalLong;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.support.RendezvousHashing;
 import org.jspecify.annotations.Nullable;
@@ -18,8 +19,10 @@
   private long reportedNanos;
   private int inFlightAtReport;
   private long occupiedNanos;
+  private long knownSinceNanos;
 
-  ReplicaState(Replica replica, ReplicaHealth health) {
+  ReplicaState(Replica replica, ReplicaHealth health, long nowNanos) {
+    this.knownSinceNanos = nowNanos;
     this.replica = replica;
     this.health = health;
     this.nameHash = RendezvousHashing.hash(replica.id());
@@ -41,8 +44,14 @@
     return inFlight;
   }
 
-  void update(Replica latest) {
+  void update(Replica latest, long nowNanos) {
     replica = latest;
+    knownSinceNanos = nowNanos;
+  }
+
+  /** Returns when the record of the replica was last confirmed, on the monotonic clock. */
+  public long knownSinceNanos() {
+    return knownSinceNanos;
   }
 
   /** Returns the hash of the replica's id. */
@@ -92,6 +101,11 @@
     return nowNanos - Math.max(occupiedNanos, health.heardNanos());
   }
 
+  /** Returns the age of the replica's latest own count; empty if it has sent none. */
+  public OptionalLong reportAgeNanos(long nowNanos) {
+    return report == null ? OptionalLong.empty() : OptionalLong.of(nowNanos - reportedNanos);
+  }
+
   /** Returns the tokens of prompts that this router has sent and that have brought no event yet. */
   long unstartedTokens() {
     return unstartedTokens;
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -72,24 +72,28 @@
     this.leastLoadChoice = new LeastLoadChoice(options, ownDataCentre, peers, nanoTime, random);
   }
 
-  /** Takes a replica into use, or takes over its latest record. */
-  public void addReplica(Replica replica) {
+  /** Takes a replica into use, or its latest record; returns whether it was not in use before. */
+  public boolean addReplica(Replica replica) {
     ReplicaState known = replicas.get(replica.id());
     if (known != null && known.replica().sameIncarnation(replica)) {
-      known.update(replica);
-    } else {
-      replicas.put(replica.id(), new ReplicaState(replica, new ReplicaHealth(nanoTime)));
+      known.update(replica, nanoTime.getAsLong());
+      return false;
     }
+    replicas.put(
+        replica.id(), new ReplicaState(replica, new ReplicaHealth(nanoTime), nanoTime.getAsLong()));
     placeWaiting();
+    return true;
   }
 
-  /** Gives a replica no new work any more. */
-  public void removeReplica(Replica replica) {
+  /** Gives a replica no new work any more; returns whether it was in use. */
+  public boolean removeReplica(Replica replica) {
     ReplicaState known = replicas.get(replica.id());
-    if (known != null && known.replica().sameIncarnation(replica)) {
-      replicas.remove(replica.id());
-      departed.put(known.cacheHash(), new Departed(replica.address(), nanoTime.getAsLong()));
+    if (known == null || !known.replica().sameIncarnation(replica)) {
+      return false;
     }
+    replicas.remove(replica.id());
+    departed.put(known.cacheHash(), new Departed(replica.address(), nanoTime.getAsLong()));
+    return true;
   }
 
   /** Returns whether a replica still gets new work. */
@@ -109,7 +113,7 @@
 
   /** Places a request, or lets it wait. */
   public void submit(Work work) {
-    ReplicaState chosen = choose(work);
+    Placement chosen = choose(work);
     if (chosen != null) {
       place(work, chosen);
     } else if (nanoTime.getAsLong() >= waitEndNanos(work)) {
@@ -143,7 +147,7 @@
     long now = nanoTime.getAsLong();
     List<Work> candidates = new ArrayList<>(waiting);
     for (Work work : candidates) {
-      ReplicaState chosen = choose(work);
+      Placement chosen = choose(work);
       if (chosen != null && waiting.remove(work)) {
         place(work, chosen);
       } else if (chosen == null && now >= waitEndNanos(work) && waiting.remove(work)) {
@@ -162,16 +166,20 @@
       Work last = waiting.remove(waiting.size() - 1);
       last.onTurnedAway(refusal(last));
     }
+    if (position < WAITING_MAX) {
+      work.onQueued(position, waiting.size());
+    }
   }
 
-  private void place(Work work, ReplicaState replica) {
+  private void place(Work work, Placement chosen) {
+    ReplicaState replica = chosen.replica();
     replica.occupy(work, nanoTime.getAsLong());
-    Optional<HostPort> source = Optional.empty();
+    Placement placement = chosen;
     if (!work.description().prompt().isEmpty()) {
-      source = cacheSource(work, replica);
+      placement = chosen.withCacheSource(cacheSource(work, replica));
       work.sharedParts().forEach(part -> locations.placed(part.hash(), replica));
     }
-    work.onPlaced(replica, source);
+    work.onPlaced(placement);
   }
 
   /** Finds a replica that holds more of a prompt's beginning than the chosen one. */
@@ -203,7 +211,7 @@
         .findFirst();
   }
 
-  private @Nullable ReplicaState choose(Work work) {
+  private @Nullable Placement choose(Work work) {
     ReplicaChoice choice = work.description().prompt().isEmpty() ? leastLoadChoice : promptChoice;
     return choice.choose(work, replicas.values());
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import org.coltsfootvale.core.course.PromptPart;
 import org.coltsfootvale.core.course.RequestDescription;
-import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.support.RendezvousHashing;
 
 /**
@@ -47,12 +45,16 @@
     this.sharedParts = sharedParts(description);
   }
 
+  /** Takes the replica that the request is to be sent to; the slot is already counted. */
+  protected abstract void onPlaced(Placement placement);
+
   /**
-   * Takes the replica that the request is to be sent to; the slot is already counted.
+   * Takes note that no replica takes the request yet.
    *
-   * @param cacheSource a replica that holds what the chosen one lacks of the prompt, if any
+   * @param position its place in the queue, from 0
+   * @param queueLength the requests that wait, this one included
    */
-  protected abstract void onPlaced(ReplicaState replica, Optional<HostPort> cacheSource);
+  protected void onQueued(int position, int queueLength) {}
 
   /** Takes note that no replica takes the request in time. */
   protected abstract void onTurnedAway(Refusal refusal);
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/routing/RoutingState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/routing/RoutingState.java
@@ -73,9 +73,9 @@
     return Optional.ofNullable(services.get(name));
   }
 
-  /** Returns the names of all services. */
-  public Iterable<String> serviceNames() {
-    return services.keySet();
+  /** Returns the number of routes. */
+  public int routeCount() {
+    return routesByHost.values().stream().mapToInt(List::size).sum();
   }
 
   /**
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -7,6 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.error.Failures;
 import org.coltsfootvale.core.support.Service;
 
@@ -44,6 +47,7 @@
   private final Listener listener;
   private final Scheduler scheduler;
   private final DoubleSupplier random;
+  private final DecisionLog log;
   private final Map<String, StoreEntry> known = new HashMap<>();
   private long knownRevision;
   private boolean running;
@@ -60,18 +64,21 @@
    * @param listener hears of readings and changes
    * @param scheduler runs the next call
    * @param random gives numbers in [0, 1) that spread pauses
+   * @param log takes the loss and the return of the store
    */
   public PrefixFollower(
       RevisionedStore store,
       String prefix,
       Listener listener,
       Scheduler scheduler,
-      DoubleSupplier random) {
+      DoubleSupplier random,
+      DecisionLog log) {
     this.store = store;
     this.prefix = prefix;
     this.listener = listener;
     this.scheduler = scheduler;
     this.random = random;
+    this.log = log;
   }
 
   @Override
@@ -219,17 +226,24 @@
 
   private void succeeded() {
     if (failuresInRow > 0) {
+      int failures = failuresInRow;
       failuresInRow = 0;
-      LOGGER.atInfo().log("store answers again for %s", prefix);
+      log.record(
+          Decision.of(DecisionEvent.STORE_REGAINED)
+              .with("prefix", prefix)
+              .with("failures", failures)
+              .with("known_revision", knownRevision));
       listener.onStoreReturned();
     }
   }
 
   private void failed(Throwable failure, Runnable again) {
     if (failuresInRow == 0) {
-      LOGGER.atWarning().log(
-          "store call for %s failed, serving on from what is known: %s",
-          prefix, Failures.unwrap(failure).getMessage());
+      log.record(
+          Decision.of(DecisionEvent.STORE_LOST)
+              .with("prefix", prefix)
+              .with("known_revision", knownRevision)
+              .with("cause", String.valueOf(Failures.unwrap(failure).getMessage())));
     }
     Duration ceiling = PAUSE_MIN.multipliedBy(1L << Math.min(failuresInRow, 6));
     if (ceiling.compareTo(PAUSE_MAX) > 0) {
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/course/RequestCourseTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/course/RequestCourseTest.java
@@ -132,6 +132,11 @@
 
   private static RepeatBudget budget(boolean allows) {
     return new RepeatBudget() {
+      @Override
+      public double left(String service) {
+        return 0;
+      }
+
       @Override
       public void requestArrived(String service) {}
 
--- /dev/null
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
@@ -0,0 +1,195 @@
+package org.coltsfootvale.core.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.commons.rng.simple.RandomSource;
+import org.coltsfootvale.core.course.PromptPart;
+import org.coltsfootvale.core.course.RequestDescription;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.replica.Replica;
+import org.jspecify.annotations.Nullable;
+import org.testng.annotations.BeforeMethod;
+
+/** A dispatcher with replicas, and requests that record what becomes of them. */
+abstract class DispatcherFixture {
+
+  static final int SLOTS = 8;
+  static final int LONG = 10_000;
+  static final int SHORT = 199;
+
+  AtomicLong now = new AtomicLong();
+  PromptLocations locations = locations();
+  PeerPlacements peers = peers();
+  ServiceDispatcher dispatcher = create();
+
+  @BeforeMethod
+  void reset() {
+    now = new AtomicLong(TimeUnit.SECONDS.toNanos(100));
+    locations = locations();
+    peers = peers();
+    dispatcher = create();
+  }
+
+  List<Held> fill() {
+    List<Held> placed = new ArrayList<>();
+    for (int i = 0; i < 2 * SLOTS; i++) {
+      Held held = new Held(plain(1, 1_000));
+      dispatcher.submit(held);
+      placed.add(held);
+    }
+    return placed;
+  }
+
+  String hold(Held work) {
+    dispatcher.submit(work);
+    return work.replica == null ? "" : work.replica.replica().id();
+  }
+
+  String hold(Spec spec) {
+    return hold(new Held(spec));
+  }
+
+  String place(Spec spec) {
+    Held work = new Held(spec);
+    String id = hold(work);
+    work.placed().started(work);
+    dispatcher.release(work.placed());
+    return id;
+  }
+
+  ReplicaState state(String id) {
+    return dispatcher.replicas().stream()
+        .filter(state -> state.replica().id().equals(id))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  void addReplicas(int count) {
+    for (int i = 0; i < count; i++) {
+      dispatcher.addReplica(replica(i));
+    }
+  }
+
+  ServiceDispatcher create() {
+    return new ServiceDispatcher(
+        DispatchOptions.defaults(),
+        "dc",
+        locations,
+        peers,
+        () -> now.get(),
+        RandomSource.SPLIT_MIX_64.create(7L));
+  }
+
+  PromptLocations locations() {
+    return new PromptLocations(Duration.ofSeconds(60), () -> now.get());
+  }
+
+  PeerPlacements peers() {
+    return new PeerPlacements(Duration.ofSeconds(2), () -> now.get());
+  }
+
+  static Replica replica(int index) {
+    return new Replica(
+        "r" + index, 1, "service", new HostPort("10.0.0." + (index + 1), 80), "dc", SLOTS, false);
+  }
+
+  static Replica replica(String id) {
+    return replica(Integer.parseInt(id.substring(1)));
+  }
+
+  static Replica restarted(Replica before) {
+    return new Replica(
+        before.id(),
+        before.bornMillis() + 1_000,
+        before.service(),
+        before.address(),
+        before.dataCentre(),
+        before.slots(),
+        false);
+  }
+
+  record Spec(RequestDescription description, int urgency, long goalMillis) {}
+
+  static Spec prompt(String part, int tokens) {
+    return new Spec(
+        new RequestDescription(
+            "id",
+            Optional.empty(),
+            Optional.empty(),
+            List.of(new PromptPart(part, tokens), new PromptPart("own", 100)),
+            tokens + 100,
+            50,
+            OptionalLong.empty()),
+        1,
+        1_000);
+  }
+
+  static Spec chain(String root, String part) {
+    return new Spec(
+        new RequestDescription(
+            "id",
+            Optional.empty(),
+            Optional.empty(),
+            List.of(
+                new PromptPart(root, 500), new PromptPart(part, LONG), new PromptPart("own", 100)),
+            LONG + 600,
+            50,
+            OptionalLong.empty()),
+        1,
+        1_000);
+  }
+
+  static Spec plain(int urgency, long goalMillis) {
+    return new Spec(
+        new RequestDescription(
+            "id", Optional.empty(), Optional.empty(), List.of(), 0, 0, OptionalLong.empty()),
+        urgency,
+        goalMillis);
+  }
+
+  final class Held extends Work {
+
+    final Runnable onPlaced;
+    @Nullable ReplicaState replica;
+    Optional<HostPort> cacheSource = Optional.empty();
+    Optional<Refusal> refusal = Optional.empty();
+    int placements;
+
+    Held(Spec spec) {
+      this(spec, () -> {});
+    }
+
+    Held(Spec spec, Runnable onPlaced) {
+      super(
+          spec.description(),
+          spec.urgency(),
+          now.get(),
+          now.get() + TimeUnit.SECONDS.toNanos(10),
+          TimeUnit.MILLISECONDS.toNanos(spec.goalMillis()));
+      this.onPlaced = onPlaced;
+    }
+
+    @Override
+    protected void onPlaced(Placement placement) {
+      replica = placement.replica();
+      cacheSource = placement.cacheSource();
+      placements++;
+      onPlaced.run();
+    }
+
+    ReplicaState placed() {
+      return Objects.requireNonNull(replica, "the request has not been placed");
+    }
+
+    @Override
+    protected void onTurnedAway(Refusal latest) {
+      refusal = Optional.of(latest);
+    }
+  }
+}
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.coltsfootvale.core.decision.DecisionLog;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -125,7 +126,8 @@
             told.add("returned");
           }
         };
-    return new PrefixFollower(store, "p/", listener, (delay, task) -> later.add(task), () -> 0.5);
+    return new PrefixFollower(
+        store, "p/", listener, (delay, task) -> later.add(task), () -> 0.5, DecisionLog.NONE);
   }
 
   private static String describe(StoreEntry entry) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpEndpointHandler.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpEndpointHandler.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.concurrent.EventExecutorGroup;
 
 /** Serves an endpoint on a connection. */
 public final class HttpEndpointHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -28,6 +29,14 @@
     pipeline.addLast(new HttpEndpointHandler(endpoint));
   }
 
+  /** Adds the handlers that serve an endpoint on threads of their own. */
+  public static void install(
+      ChannelPipeline pipeline, EventExecutorGroup executors, HttpEndpoint endpoint) {
+    pipeline.addLast(new HttpServerCodec());
+    pipeline.addLast(new HttpObjectAggregator(BODY_BYTES_MAX));
+    pipeline.addLast(executors, new HttpEndpointHandler(endpoint));
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     if (!request.decoderResult().isSuccess()) {
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/metrics/DecisionMetrics.java
@@ -0,0 +1,117 @@
+package org.coltsfootvale.router.metrics;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.SynchronizedHistogram;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
+
+/** Counts decisions and measures how long requests take until they end. Thread-safe. */
+public final class DecisionMetrics implements DecisionLog {
+
+  private static final long LATENCY_MAX_MILLIS = TimeUnit.MINUTES.toMillis(10);
+  private static final int LATENCY_DIGITS = 2;
+  private static final double[] QUANTILES = {0.5, 0.95, 0.99};
+  private static final double MILLIS_PER_SECOND = 1_000.0;
+  private static final double PER_CENT = 100.0;
+
+  /** More services than this are counted together, to bound the number of series. */
+  private static final int SERVICES_MAX = 50;
+
+  private static final String OTHER_SERVICES = "other";
+
+  private final Map<DecisionEvent, LongAdder> counts = new ConcurrentHashMap<>();
+  private final Map<Key, LongAdder> requests = new ConcurrentHashMap<>();
+  private final Map<Key, LongAdder> failedAttempts = new ConcurrentHashMap<>();
+  private final Map<Key, Histogram> latencies = new ConcurrentHashMap<>();
+  private final Map<String, String> services = new ConcurrentHashMap<>();
+
+  /** Creates metrics without counts. */
+  public DecisionMetrics() {}
+
+  @Override
+  public void record(Decision decision) {
+    increment(counts, decision.event());
+    Map<String, Object> fields = decision.fields();
+    if (!(fields.get("service") instanceof String service) || !fields.containsKey("request")) {
+      return;
+    }
+    if (decision.event() == DecisionEvent.ATTEMPT_FAILED) {
+      increment(failedAttempts, new Key(bounded(service), String.valueOf(fields.get("next"))));
+    }
+    if (fields.get("total_millis") instanceof Long totalMillis) {
+      Key key = new Key(bounded(service), outcome(decision));
+      increment(requests, key);
+      latencies
+          .computeIfAbsent(
+              key, unseen -> new SynchronizedHistogram(LATENCY_MAX_MILLIS, LATENCY_DIGITS))
+          .recordValue(Math.min(Math.max(0, totalMillis), LATENCY_MAX_MILLIS));
+    }
+  }
+
+  private static String outcome(Decision decision) {
+    Object reason = decision.fields().get("reason");
+    String event = decision.event().name().toLowerCase(java.util.Locale.ROOT);
+    String outcome = event.substring("request_".length());
+    return reason == null
+        ? outcome
+        : outcome + "_" + reason.toString().toLowerCase(java.util.Locale.ROOT);
+  }
+
+  private String bounded(String service) {
+    if (services.size() >= SERVICES_MAX && !services.containsKey(service)) {
+      return OTHER_SERVICES;
+    }
+    return services.computeIfAbsent(service, name -> name);
+  }
+
+  private static <K> void increment(Map<K, LongAdder> counters, K key) {
+    counters.computeIfAbsent(key, unseen -> new LongAdder()).increment();
+  }
+
+  /** Adds all counts and latencies to a registry. */
+  void bindTo(MeterRegistry registry) {
+    counts.forEach(
+        (event, count) ->
+            counter(
+                registry, "coltsfootvale.decisions", Tags.of("event", event.wireName()), count));
+    requests.forEach(
+        (key, count) -> counter(registry, "coltsfootvale.requests", key.tags("outcome"), count));
+    failedAttempts.forEach(
+        (key, count) ->
+            counter(registry, "coltsfootvale.attempts.failed", key.tags("next"), count));
+    latencies.forEach((key, latency) -> bindLatency(registry, key, latency));
+  }
+
+  private static void bindLatency(MeterRegistry registry, Key key, Histogram latency) {
+    for (double quantile : QUANTILES) {
+      Gauge.builder(
+              "coltsfootvale.request.seconds",
+              latency,
+              known -> known.getValueAtPercentile(quantile * PER_CENT) / MILLIS_PER_SECOND)
+          .tags(key.tags("outcome").and("quantile", Double.toString(quantile)))
+          .strongReference(true)
+          .register(registry);
+    }
+  }
+
+  private static void counter(MeterRegistry registry, String name, Tags tags, LongAdder count) {
+    FunctionCounter.builder(name, count, LongAdder::doubleValue).tags(tags).register(registry);
+  }
+
+  /** A service, and what came of a request or an attempt. */
+  private record Key(String service, String result) {
+
+    Tags tags(String resultName) {
+      return Tags.of("service", service, resultName, result);
+    }
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -1,15 +1,17 @@
 package org.coltsfootvale.router.serving;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootvale.core.course.NextStep;
 import org.coltsfootvale.core.course.RequestCourse;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.dispatch.ReplicaState;
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
 import org.coltsfootvale.core.model.HostPort;
@@ -20,8 +22,6 @@
 /** One sending of a request to a replica, and its answer. Confined to the serving loop. */
 final class Attempt implements AnswerReceiver {
 
-  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
   private final Exchange exchange;
   private final RequestCourse course;
   private final Exchange.Surroundings with;
@@ -80,9 +80,15 @@
         opened.cancel();
       }
     } else if (opened == null) {
-      replica.health().unreached();
-      exchange.avoid(replica.replica().id());
-      exchange.follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY);
+      Duration pause = replica.health().unreached();
+      with.log()
+          .record(
+              Decision.of(DecisionEvent.REPLICA_SUSPENDED, exchange.description().requestId())
+                  .with("replica", replicaId())
+                  .with("pause_millis", pause.toMillis())
+                  .with("cause", String.valueOf(failure)));
+      exchange.avoid(replicaId());
+      notReached("no connection");
     } else {
       send(opened);
     }
@@ -91,7 +97,7 @@
   private void send(ReplicaLink opened) {
     if (!dispatcher.uses(replica)) {
       opened.cancel();
-      exchange.follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY);
+      notReached("the replica has departed meanwhile");
       return;
     }
     link = opened;
@@ -127,6 +133,14 @@
     }
   }
 
+  String replicaId() {
+    return replica.replica().id();
+  }
+
+  private void notReached(String cause) {
+    exchange.follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY, cause);
+  }
+
   void leave() {
     left = true;
     if (silenceCheck != null) {
@@ -230,8 +244,8 @@
       return;
     }
     if (traits.notRun()) {
-      exchange.avoid(replica.replica().id());
-      finishAndFollow(course.onRejected());
+      exchange.avoid(replicaId());
+      finishAndFollow(course.onRejected(), "rejected with status " + response.status().code());
     } else if (!isSuccess(response)) {
       onFailureAnswer(response);
     } else if (!genuineSuccess() || answer.cut()) {
@@ -249,24 +263,25 @@
     if (serverFault) {
       replica.health().failed();
     }
+    String answered = "answered with status " + status;
     NextStep step = serverFault ? course.onFailureAnswer() : NextStep.DELIVER;
     if (step != NextStep.DELIVER) {
-      exchange.avoid(replica.replica().id());
-      finishAndFollow(step);
+      exchange.avoid(replicaId());
+      finishAndFollow(step, answered);
     } else if (course.answerBegun()) {
-      finishAndFollow(NextStep.BREAK_OFF);
+      finishAndFollow(NextStep.BREAK_OFF, answered);
     } else if (promisesNotRun(status)) {
       // The status would promise the caller what the replica has not said.
-      finishAndFollow(NextStep.FAIL);
+      finishAndFollow(NextStep.FAIL, answered);
     } else {
       complete(response);
     }
   }
 
   /** Follows a decision after a whole answer, so that its connection is kept. */
-  private void finishAndFollow(NextStep step) {
+  private void finishAndFollow(NextStep step, String cause) {
     link = null;
-    exchange.follow(step, HttpResponseStatus.BAD_GATEWAY);
+    exchange.follow(step, HttpResponseStatus.BAD_GATEWAY, cause);
   }
 
   private void complete(HttpResponse response) {
@@ -280,8 +295,8 @@
       return;
     }
     if (!sent) {
-      exchange.avoid(replica.replica().id());
-      exchange.follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY);
+      exchange.avoid(replicaId());
+      notReached("the connection was gone before the request left");
       return;
     }
     replica.health().failed();
@@ -289,11 +304,8 @@
   }
 
   private void lost(String why) {
-    LOGGER.atFine().log(
-        "request %s has no whole answer of %s: %s",
-        exchange.description().requestId(), replica.replica().id(), why);
-    exchange.avoid(replica.replica().id());
-    exchange.follow(course.onLost(), HttpResponseStatus.BAD_GATEWAY);
+    exchange.avoid(replicaId());
+    exchange.follow(course.onLost(), HttpResponseStatus.BAD_GATEWAY, why);
   }
 
   private boolean genuineSuccess() {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/DesiredStateFeed.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/DesiredStateFeed.java
@@ -1,21 +1,23 @@
 package org.coltsfootvale.router.serving;
 
-import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.store.StoreEntry;
 
 /** Feeds the desired state from the store to the serving state. */
 final class DesiredStateFeed implements PrefixFollower.Listener {
 
-  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
   private final EntryFormats formats;
   private final ServingState state;
+  private final DecisionLog log;
 
-  DesiredStateFeed(EntryFormats formats, ServingState state) {
+  DesiredStateFeed(EntryFormats formats, ServingState state, DecisionLog log) {
     this.formats = formats;
     this.state = state;
+    this.log = log;
   }
 
   @Override
@@ -32,16 +34,15 @@
         .desiredState(entry.value().get())
         .ifPresentOrElse(
             latest -> {
-              state.accept(latest);
-              LOGGER.atInfo().log(
-                  "desired state %d of revision %d is in force",
-                  latest.version(), entry.revision());
+              state.accept(latest, entry.revision());
             },
             () ->
-                LOGGER.atSevere().log(
-                    "the desired state of revision %d cannot be read, the one before stays in"
-                        + " force; write a valid one to %s",
-                    entry.revision(), entry.key()));
+                log.record(
+                    Decision.of(DecisionEvent.DESIRED_STATE_UNREADABLE)
+                        .with("revision", entry.revision())
+                        .with("key", entry.key())
+                        .with("in_force", state.desiredStateVersion())
+                        .with("remedy", "write a valid desired state to the key")));
   }
 
   @Override
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -1,9 +1,9 @@
 package org.coltsfootvale.router.serving;
 
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
@@ -12,6 +12,9 @@
 import org.apache.commons.rng.core.source64.SplitMix64;
 import org.coltsfootvale.core.course.DefaultRepeatBudget;
 import org.coltsfootvale.core.course.RepeatBudget;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.dispatch.CacheCensus;
 import org.coltsfootvale.core.dispatch.DispatchOptions;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
@@ -28,6 +31,9 @@
 import org.coltsfootvale.router.http.HttpListener;
 import org.coltsfootvale.router.http.ReplicaLinks;
 import org.coltsfootvale.router.http.ServingLoop;
+import org.coltsfootvale.router.metrics.DecisionMetrics;
+import org.coltsfootvale.router.metrics.MetricsPage;
+import org.coltsfootvale.router.metrics.StoreMetrics;
 
 /**
  * A router at the entry of a deployment whose desired state, replicas and fleet are kept in a
@@ -35,8 +41,6 @@
  */
 public final class EntryRouter implements Service {
 
-  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
   /** Entries that lapsed during an outage of the store are back within about two seconds. */
   private static final Duration LAPSE_GRACE = Duration.ofMillis(2_200);
 
@@ -82,6 +86,8 @@
   private final FleetExchange exchange;
   private final PauseWatch pauseWatch;
   private final List<HttpListener> smallListeners;
+  private final Optional<ObservationListener> observation;
+  private final DecisionLog log;
   private final CountDownLatch stopped = new CountDownLatch(1);
   private boolean advertised;
   private long stopBegunNanos;
@@ -95,6 +101,7 @@
    * @param protocol the headers of callers and replicas
    * @param formats the formats of what is kept in the store
    * @param inspector asks replicas for what their caches hold
+   * @param log takes decisions and changes of belief
    */
   public EntryRouter(
       EntrySettings settings,
@@ -102,41 +109,36 @@
       RevisionedStore store,
       CallerProtocol protocol,
       EntryFormats formats,
-      CacheInspector inspector) {
+      CacheInspector inspector,
+      DecisionLog log) {
     this.settings = settings;
+    DecisionMetrics metrics = new DecisionMetrics();
+    this.log = metrics.andThen(log);
+    StoreMetrics counted = new StoreMetrics(store);
     this.loop = loop;
     this.inspector = inspector;
     // Constructed directly: the factory of random sources costs a tenth of a start.
     UniformRandomProvider random = new SplitMix64(System.nanoTime());
-    RouterAdvertisement self =
-        new RouterAdvertisement(
-            settings.id(), settings.dataCentre(), settings.callerAddress(), settings.peerAddress());
+    RouterAdvertisement self = advertisementOf(settings);
     registry = new RouterRegistry(self, LAPSE_GRACE, nanoTime);
     locations = new PromptLocations(CACHE_LIFE, nanoTime);
     census = new CacheCensus(settings.firstStart(), locations, nanoTime);
     PeerPlacements placements = new PeerPlacements(PEER_LIFE, nanoTime);
-    state =
-        new ServingState(
-            DispatchOptions.defaults(),
-            settings.dataCentre(),
-            locations,
-            placements,
-            nanoTime,
-            random);
+    state = servingState(placements, random);
     replicas = new ReplicaTable(LAPSE_GRACE, nanoTime, new ReplicaListener());
     links = new ReplicaLinks(loop, nanoTime);
     RequestStarter starter =
         new RequestStarter(
-            state, protocol, repeatBudget(settings, registry), links, loop, nanoTime);
+            state, protocol, repeatBudget(settings, registry), links, loop, nanoTime, this.log);
     callers = new CallerListener(loop, settings.callerAddress(), starter, state, nanoTime);
-    StoreFollowers following = new StoreFollowers(store, loop, random::nextDouble);
+    StoreFollowers following = new StoreFollowers(counted, loop, random::nextDouble, this.log);
     desiredState =
-        following.follow(formats.desiredStateKey(), new DesiredStateFeed(formats, state));
+        following.follow(formats.desiredStateKey(), new DesiredStateFeed(formats, state, this.log));
     replicaEntries = following.follow(formats.replicaPrefix(), new ReplicaFeed(formats, replicas));
     routerEntries = following.follow(RouterRegistry.PREFIX, registry);
     advertisement =
         new LeaseKeeper(
-            store,
+            counted,
             RouterRegistry.PREFIX + settings.id(),
             self.encode(),
             ADVERTISEMENT_LIFE,
@@ -156,6 +158,37 @@
             InstantSource.system());
     pauseWatch = new PauseWatch(nanoTime, System::currentTimeMillis);
     smallListeners = smallListeners(new EntryPoints(registry, this::ready), formats);
+    observation = observation(new MetricsPage(metrics, counted), placements);
+  }
+
+  private static RouterAdvertisement advertisementOf(EntrySettings settings) {
+    return new RouterAdvertisement(
+        settings.id(), settings.dataCentre(), settings.callerAddress(), settings.peerAddress());
+  }
+
+  private ServingState servingState(PeerPlacements placements, UniformRandomProvider random) {
+    return new ServingState(
+        DispatchOptions.defaults(),
+        settings.dataCentre(),
+        locations,
+        placements,
+        nanoTime,
+        random,
+        log);
+  }
+
+  private Optional<ObservationListener> observation(MetricsPage page, PeerPlacements placements) {
+    StateReport report =
+        new StateReport(
+            state,
+            registry,
+            placements,
+            List.of(desiredState, replicaEntries, routerEntries),
+            this::ready,
+            nanoTime);
+    return settings
+        .metrics()
+        .map(at -> new ObservationListener(loop, at.address(), at.path(), page, report));
   }
 
   private static RepeatBudget repeatBudget(EntrySettings settings, RouterRegistry registry) {
@@ -185,6 +218,12 @@
     smallListeners.forEach(HttpListener::start);
     callers.start();
     exchange.start();
+    observation.ifPresent(ObservationListener::start);
+    log.record(
+        Decision.of(DecisionEvent.PROCESS_STARTED)
+            .with("callers_at", settings.callerAddress().toString())
+            .with("peers_at", settings.peerAddress().toString())
+            .with("first_start", settings.firstStart()));
     loop.execute(
         () -> {
           desiredState.start();
@@ -202,13 +241,15 @@
    * that a change of them is reported and takes effect at the next start.
    */
   public void reload(EntrySettings latest) {
-    if (latest.equals(settings)) {
-      LOGGER.atInfo().log("the settings were read anew and are unchanged");
-    } else {
-      LOGGER.atWarning().log(
-          "the settings have changed; restart the router to apply them: %s, before: %s",
-          latest.withoutSecret(), settings.withoutSecret());
+    boolean changed = !latest.equals(settings);
+    Decision decision = Decision.of(DecisionEvent.SETTINGS_RELOADED).with("changed", changed);
+    if (changed) {
+      decision
+          .with("remedy", "restart the router to apply them")
+          .with("settings", latest.withoutSecret().toString())
+          .with("in_force", settings.withoutSecret().toString());
     }
+    log.record(decision);
   }
 
   private void tellPeers() {
@@ -219,7 +260,8 @@
 
   private void tick() {
     if (pauseWatch.pausedSinceLastCall()) {
-      LOGGER.atWarning().log("the process was paused or its clock was set; reading all anew");
+      log.record(
+          Decision.of(DecisionEvent.PROCESS_PAUSED).with("next", "all beliefs are read anew"));
       desiredState.restart();
       replicaEntries.restart();
       routerEntries.restart();
@@ -230,6 +272,7 @@
     }
     if (ready() && !advertised) {
       advertised = true;
+      log.record(Decision.of(DecisionEvent.READINESS_CHANGED).with("ready", true));
       advertisement.start();
     }
     replicas.expire();
@@ -260,13 +303,16 @@
               .whenComplete(
                   (parts, failure) -> {
                     census.answered();
+                    Decision decision =
+                        Decision.of(DecisionEvent.CACHE_LISTED).with("replica", engine.id());
                     if (failure == null) {
                       locations.listed(engine, parts);
+                      decision.with("parts", parts.size());
                     } else {
-                      LOGGER.atWarning().log(
-                          "the cache of %s is not known, its parts may be read again: %s",
-                          engine.id(), Failures.unwrap(failure).getMessage());
+                      decision.with(
+                          "failure", String.valueOf(Failures.unwrap(failure).getMessage()));
                     }
+                    log.record(decision);
                   });
     }
   }
@@ -279,7 +325,8 @@
   public void stop() {
     loop.execute(
         () -> {
-          LOGGER.atInfo().log("stopping; %d requests in progress", state.active());
+          log.record(
+              Decision.of(DecisionEvent.PROCESS_STOPPING).with("in_progress", state.active()));
           stopBegunNanos = nanoTime.getAsLong();
           state.drain();
           advertisement.stop();
@@ -288,8 +335,7 @@
     try {
       boolean inTime =
           stopped.await(settings.stopTimeout().minus(STOP_SLACK).toMillis(), TimeUnit.MILLISECONDS);
-      LOGGER.atInfo().log(
-          "stopped%s", inTime ? "" : " with requests in progress, as the time is over");
+      log.record(Decision.of(DecisionEvent.PROCESS_STOPPED).with("in_time", inTime));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -333,10 +379,11 @@
   }
 
   /** Creates the followers of the store, which share all but their prefix and listener. */
-  private record StoreFollowers(RevisionedStore store, ServingLoop loop, DoubleSupplier random) {
+  private record StoreFollowers(
+      RevisionedStore store, ServingLoop loop, DoubleSupplier random, DecisionLog log) {
 
     PrefixFollower follow(String prefix, PrefixFollower.Listener listener) {
-      return new PrefixFollower(store, prefix, listener, loop, random);
+      return new PrefixFollower(store, prefix, listener, loop, random, log);
     }
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.coltsfootvale.core.model.HostPort;
 
 /**
@@ -21,6 +22,7 @@
  * @param repeatRatio the repeats that each request allows the fleet
  * @param repeatAllowance the repeats that the fleet may make in a window besides
  * @param repeatWindow the sliding window of the two figures above
+ * @param metrics where metrics are served, if anywhere
  */
 public record EntrySettings(
     String id,
@@ -36,7 +38,8 @@
     Duration stopTimeout,
     double repeatRatio,
     double repeatAllowance,
-    Duration repeatWindow) {
+    Duration repeatWindow,
+    Optional<MetricsAddress> metrics) {
 
   /** Copies the list. */
   public EntrySettings {
@@ -59,6 +62,7 @@
         stopTimeout,
         repeatRatio,
         repeatAllowance,
-        repeatWindow);
+        repeatWindow,
+        metrics);
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -21,6 +21,8 @@
 import org.coltsfootvale.core.course.NextStep;
 import org.coltsfootvale.core.course.RequestCourse;
 import org.coltsfootvale.core.course.RequestDescription;
+import org.coltsfootvale.core.decision.DecisionLog;
+import org.coltsfootvale.core.dispatch.Placement;
 import org.coltsfootvale.core.dispatch.Refusal;
 import org.coltsfootvale.core.dispatch.ReplicaState;
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
@@ -44,7 +46,8 @@
       ReplicaLinks links,
       ServingLoop loop,
       AnswerWriter writer,
-      LongSupplier nanoTime) {}
+      LongSupplier nanoTime,
+      DecisionLog log) {}
 
   private final Surroundings with;
   private final CallerConnection caller;
@@ -52,6 +55,7 @@
   private final RequestCourse course;
   private final Optional<Organisation> organisation;
   private final ServiceDispatcher dispatcher;
+  private final ExchangeLog log;
   private @Nullable Attempt attempt;
   private @Nullable Future<?> timeOver;
   private boolean waiting;
@@ -77,6 +81,7 @@
     this.course = course;
     this.organisation = organisation;
     this.dispatcher = with.state().dispatcher(course.service());
+    this.log = new ExchangeLog(with.log(), with.nanoTime(), this, course);
   }
 
   private static int urgency(RequestCourse course, Optional<Organisation> organisation) {
@@ -90,6 +95,7 @@
   /** Starts the timer of the request and asks for a replica. */
   void begin() {
     with.state().requestBegun();
+    log.accepted(organisation, with.state());
     long leftNanos = deadlineNanos() - with.nanoTime().getAsLong();
     timeOver =
         with.loop()
@@ -109,9 +115,16 @@
   }
 
   @Override
-  protected void onPlaced(ReplicaState replica, Optional<HostPort> cacheSource) {
+  protected void onQueued(int position, int queueLength) {
+    log.queued(position, queueLength, dispatcher);
+  }
+
+  @Override
+  protected void onPlaced(Placement placement) {
     waiting = false;
-    Attempt started = new Attempt(this, course, with, caller, replica, cacheSource);
+    log.placed(placement);
+    Attempt started =
+        new Attempt(this, course, with, caller, placement.replica(), placement.cacheSource());
     attempt = started;
     started.begin();
   }
@@ -130,6 +143,9 @@
 
   /** Takes note that the caller has closed its connection: its work is of no use any more. */
   void onCallerGone() {
+    if (!ended) {
+      log.abandoned();
+    }
     end();
   }
 
@@ -142,12 +158,13 @@
 
   private void onTimeOver() {
     if (!ended) {
-      follow(course.onTimeOver(), HttpResponseStatus.GATEWAY_TIMEOUT);
+      follow(course.onTimeOver(), HttpResponseStatus.GATEWAY_TIMEOUT, "time over");
     }
   }
 
   /** Carries out what the course has decided after an attempt has ended. */
-  void follow(NextStep step, HttpResponseStatus failure) {
+  void follow(NextStep step, HttpResponseStatus failure, String cause) {
+    log.attemptFailed(attempt == null ? "" : attempt.replicaId(), cause, step);
     leaveAttempt();
     switch (step) {
       case SEND_AGAIN, RESUME -> place();
@@ -161,6 +178,7 @@
   /** Delivers the answer of a replica, or the end of one that was passed on in parts. */
   void complete(HttpResponse response, ByteBuf body) {
     boolean parts = course.answerBegun();
+    log.completed(response.status());
     end();
     if (parts) {
       caller.writeEnd();
@@ -171,16 +189,19 @@
   }
 
   private void refuse(Refusal refusal) {
+    log.refused(refusal, dispatcher);
     end();
     with.writer().refuse(caller, refusal);
   }
 
   private void fail(HttpResponseStatus status) {
+    log.failed(status);
     end();
     with.writer().fail(caller, status);
   }
 
   private void breakOff() {
+    log.brokenOff();
     end();
     caller.breakOff();
   }
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
@@ -0,0 +1,139 @@
+package org.coltsfootvale.router.serving;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.course.NextStep;
+import org.coltsfootvale.core.course.RequestCourse;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
+import org.coltsfootvale.core.dispatch.Placement;
+import org.coltsfootvale.core.dispatch.Refusal;
+import org.coltsfootvale.core.dispatch.ReplicaState;
+import org.coltsfootvale.core.dispatch.ServiceDispatcher;
+import org.coltsfootvale.core.dispatch.Work;
+import org.coltsfootvale.core.routing.Organisation;
+
+/** Records the decisions on one request with the inputs that led to them. */
+final class ExchangeLog {
+
+  /** The age of what has never been heard, in log lines. */
+  private static final long NEVER = -1;
+
+  private final DecisionLog log;
+  private final LongSupplier nanoTime;
+  private final Work work;
+  private final RequestCourse course;
+
+  ExchangeLog(DecisionLog log, LongSupplier nanoTime, Work work, RequestCourse course) {
+    this.log = log;
+    this.nanoTime = nanoTime;
+    this.work = work;
+    this.course = course;
+  }
+
+  void accepted(Optional<Organisation> organisation, ServingState state) {
+    Decision decision =
+        decision(DecisionEvent.REQUEST_ACCEPTED)
+            .with("route", course.route().name())
+            .with("urgency", work.urgency())
+            .with("time_left_millis", millis(work.deadlineNanos() - now()))
+            .with("prompt_tokens", work.description().promptTokens())
+            .with("desired_state", state.desiredStateVersion())
+            .with("desired_state_age_millis", state.desiredStateAge().toMillis());
+    organisation.ifPresent(known -> decision.with("organisation", known.name()));
+    log.record(decision);
+  }
+
+  void queued(int position, int queueLength, ServiceDispatcher dispatcher) {
+    log.record(
+        decision(DecisionEvent.REQUEST_WAITING)
+            .with("position", position)
+            .with("queue_length", queueLength)
+            .with("replicas", dispatcher.replicas().size())
+            .with("time_left_millis", millis(work.deadlineNanos() - now())));
+  }
+
+  void placed(Placement placement) {
+    ReplicaState replica = placement.replica();
+    OptionalLong reportAge = replica.reportAgeNanos(now());
+    Decision decision =
+        decision(DecisionEvent.REQUEST_PLACED)
+            .with("replica", replica.replica().id())
+            .with("basis", placement.basis().name())
+            .with("load_estimate", placement.loadEstimate())
+            .with("mean_load", placement.meanLoad())
+            .with("report_age_millis", reportAge.isEmpty() ? NEVER : millis(reportAge.getAsLong()))
+            .with("entry_age_millis", millis(now() - replica.knownSinceNanos()))
+            .with("candidates", placement.candidates())
+            .with("send", course.sends() + 1)
+            .with("waited_millis", sinceArrival());
+    placement.cacheSource().ifPresent(source -> decision.with("fetch_from", source.toString()));
+    log.record(decision);
+  }
+
+  void attemptFailed(String replica, String cause, NextStep next) {
+    log.record(
+        decision(DecisionEvent.ATTEMPT_FAILED)
+            .with("replica", replica)
+            .with("cause", cause)
+            .with("next", next.name())
+            .with("sends", course.sends())
+            .with("sends_max", course.route().attemptsMax())
+            .with("may_have_run", course.mayHaveRun())
+            .with("answer_begun", course.answerBegun())
+            .with("repeats_left", course.repeatsLeft())
+            .with("after_millis", sinceArrival()));
+  }
+
+  void completed(HttpResponseStatus status) {
+    log.record(ended(DecisionEvent.REQUEST_COMPLETED).with("status", status.code()));
+  }
+
+  void refused(Refusal refusal, ServiceDispatcher dispatcher) {
+    log.record(
+        ended(DecisionEvent.REQUEST_REFUSED)
+            .with("reason", refusal.reason().name())
+            .with("retry_after_millis", refusal.retryAfter().toMillis())
+            .with("queue_length", dispatcher.waiting())
+            .with("replicas", dispatcher.replicas().size()));
+  }
+
+  void failed(HttpResponseStatus status) {
+    log.record(ended(DecisionEvent.REQUEST_FAILED).with("status", status.code()));
+  }
+
+  void brokenOff() {
+    log.record(ended(DecisionEvent.REQUEST_BROKEN_OFF));
+  }
+
+  void abandoned() {
+    log.record(ended(DecisionEvent.REQUEST_ABANDONED));
+  }
+
+  private Decision ended(DecisionEvent event) {
+    return decision(event)
+        .with("sends", course.sends())
+        .with("may_have_run", course.mayHaveRun())
+        .with("total_millis", sinceArrival());
+  }
+
+  private Decision decision(DecisionEvent event) {
+    return Decision.of(event, work.description().requestId()).with("service", course.service());
+  }
+
+  private long sinceArrival() {
+    return millis(now() - work.arrivedNanos());
+  }
+
+  private long now() {
+    return nanoTime.getAsLong();
+  }
+
+  private static long millis(long nanos) {
+    return Duration.ofNanos(nanos).toMillis();
+  }
+}
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ObservationListener.java
@@ -0,0 +1,107 @@
+package org.coltsfootvale.router.serving;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultEventExecutorGroup;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.support.Service;
+import org.coltsfootvale.router.http.HttpEndpointHandler;
+import org.coltsfootvale.router.http.HttpListener;
+import org.coltsfootvale.router.http.ServingLoop;
+import org.coltsfootvale.router.metrics.MetricsPage;
+import org.coltsfootvale.router.metrics.Reading;
+
+/** Serves metrics and the state dump, rendered on a thread of its own. */
+final class ObservationListener implements Service {
+
+  private static final String STATE_PATH = "/state";
+
+  /** The serving loop answers in milliseconds; a page is given up beyond this. */
+  private static final long SNAPSHOT_TIMEOUT_MILLIS = 2_000;
+
+  private final ServingLoop loop;
+  private final String metricsPath;
+  private final MetricsPage page;
+  private final StateReport report;
+  private final DefaultEventExecutorGroup renderer = new DefaultEventExecutorGroup(1);
+  private final HttpListener listener;
+
+  ObservationListener(
+      ServingLoop loop,
+      HostPort address,
+      String metricsPath,
+      MetricsPage page,
+      StateReport report) {
+    this.loop = loop;
+    this.metricsPath = metricsPath;
+    this.page = page;
+    this.report = report;
+    this.listener = new HttpListener(loop, address, this::setUp);
+  }
+
+  @Override
+  public void start() {
+    listener.start();
+  }
+
+  @Override
+  public void stop() {
+    listener.stop();
+    renderer.shutdownGracefully();
+  }
+
+  private void setUp(ChannelPipeline pipeline) {
+    HttpEndpointHandler.install(pipeline, renderer, this::answer);
+  }
+
+  private FullHttpResponse answer(FullHttpRequest request) {
+    try {
+      if (request.uri().equals(metricsPath)) {
+        List<Reading> readings = onLoop(report::readings);
+        return text(HttpResponseStatus.OK, "text/plain; version=0.0.4", page.render(readings));
+      }
+      if (request.uri().equals(STATE_PATH)) {
+        return text(HttpResponseStatus.OK, "application/json", onLoop(report::dump));
+      }
+      return text(
+          HttpResponseStatus.NOT_FOUND,
+          "text/plain",
+          "no such page; try " + metricsPath + " or " + STATE_PATH + "\n");
+    } catch (ExecutionException | TimeoutException e) {
+      return text(
+          HttpResponseStatus.SERVICE_UNAVAILABLE,
+          "text/plain",
+          "the router did not give its state in time; try again: " + e + "\n");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return text(HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", "stopping\n");
+    }
+  }
+
+  private <T> T onLoop(Callable<T> task)
+      throws ExecutionException, TimeoutException, InterruptedException {
+    Future<T> result = loop.eventLoop().submit(task);
+    return result.get(SNAPSHOT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private static FullHttpResponse text(HttpResponseStatus status, String type, String body) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+    return response;
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
@@ -9,6 +9,9 @@
 import org.coltsfootvale.core.course.RepeatBudget;
 import org.coltsfootvale.core.course.RequestCourse;
 import org.coltsfootvale.core.course.RequestDescription;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.dispatch.Refusal;
 import org.coltsfootvale.core.routing.Organisation;
 import org.coltsfootvale.core.routing.Route;
@@ -30,6 +33,7 @@
   private final ServingLoop loop;
   private final AnswerWriter writer;
   private final LongSupplier nanoTime;
+  private final DecisionLog log;
 
   /**
    * Creates a starter.
@@ -40,6 +44,7 @@
    * @param links the connections to replicas
    * @param loop runs timers
    * @param nanoTime the monotonic clock in nanoseconds
+   * @param log takes the decisions on requests
    */
   public RequestStarter(
       ServingState state,
@@ -47,7 +52,8 @@
       RepeatBudget budget,
       ReplicaLinks links,
       ServingLoop loop,
-      LongSupplier nanoTime) {
+      LongSupplier nanoTime,
+      DecisionLog log) {
     this.state = state;
     this.protocol = protocol;
     this.budget = budget;
@@ -55,6 +61,7 @@
     this.loop = loop;
     this.writer = new AnswerWriter(protocol);
     this.nanoTime = nanoTime;
+    this.log = log;
   }
 
   /** Returns the greatest size of a body. */
@@ -69,9 +76,13 @@
   @Nullable Exchange start(CallerConnection caller, IncomingBody request) {
     Optional<RoutingState> routing = state.routing();
     if (routing.isEmpty()) {
+      Refusal refusal = new Refusal(Refusal.Reason.NOT_CONFIGURED, state.retryWhenUninformed());
+      log.record(
+          Decision.of(DecisionEvent.REQUEST_REFUSED, protocol.describe(request.head()).requestId())
+              .with("reason", refusal.reason().name())
+              .with("retry_after_millis", refusal.retryAfter().toMillis()));
       request.release();
-      writer.refuse(
-          caller, new Refusal(Refusal.Reason.NOT_CONFIGURED, state.retryWhenUninformed()));
+      writer.refuse(caller, refusal);
       return null;
     }
     return start(caller, request, routing.get());
@@ -81,22 +92,37 @@
       CallerConnection caller, IncomingBody request, RoutingState routing) {
     HttpRequest head = request.head();
     Optional<Route> route = routing.route(head.headers().get(HttpHeaderNames.HOST, ""), head.uri());
+    RequestDescription description = protocol.describe(head);
     if (route.isEmpty()) {
-      request.release();
-      writer.fail(caller, HttpResponseStatus.NOT_FOUND);
+      deny(caller, request, description, HttpResponseStatus.NOT_FOUND, "no route");
       return null;
     }
-    RequestDescription description = protocol.describe(head);
     Optional<Organisation> organisation = description.key().flatMap(routing::organisationOf);
     boolean keyNeeded = routing.keysRequired() && !route.get().anonymous();
     if (keyNeeded && organisation.isEmpty()) {
-      request.release();
-      writer.fail(caller, HttpResponseStatus.UNAUTHORIZED);
+      String cause = description.key().isEmpty() ? "no key" : "unknown key";
+      deny(caller, request, description, HttpResponseStatus.UNAUTHORIZED, cause);
       return null;
     }
     return start(caller, request, route.get(), description, organisation);
   }
 
+  private void deny(
+      CallerConnection caller,
+      IncomingBody request,
+      RequestDescription description,
+      HttpResponseStatus status,
+      String cause) {
+    log.record(
+        Decision.of(DecisionEvent.REQUEST_DENIED, description.requestId())
+            .with("status", status.code())
+            .with("cause", cause)
+            .with("desired_state", state.desiredStateVersion())
+            .with("desired_state_age_millis", state.desiredStateAge().toMillis()));
+    request.release();
+    writer.fail(caller, status);
+  }
+
   private @Nullable Exchange start(
       CallerConnection caller,
       IncomingBody request,
@@ -109,7 +135,7 @@
     Duration timeLeft = patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
     Exchange exchange =
         new Exchange(
-            new Exchange.Surroundings(state, protocol, links, loop, writer, nanoTime),
+            new Exchange.Surroundings(state, protocol, links, loop, writer, nanoTime, log),
             caller,
             request,
             description,
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
@@ -2,12 +2,16 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.dispatch.DispatchOptions;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
 import org.coltsfootvale.core.dispatch.PromptLocations;
@@ -30,8 +34,10 @@
   private final PeerPlacements peers;
   private final LongSupplier nanoTime;
   private final UniformRandomProvider random;
+  private final DecisionLog log;
   private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
   private Optional<RoutingState> routing = Optional.empty();
+  private long desiredStateNanos;
   private boolean draining;
   private int active;
 
@@ -44,6 +50,7 @@
    * @param peers what the other routers have placed
    * @param nanoTime the monotonic clock in nanoseconds
    * @param random breaks ties
+   * @param log takes changes of belief
    */
   public ServingState(
       DispatchOptions options,
@@ -51,22 +58,46 @@
       PromptLocations locations,
       PeerPlacements peers,
       LongSupplier nanoTime,
-      UniformRandomProvider random) {
+      UniformRandomProvider random,
+      DecisionLog log) {
     this.options = options;
     this.ownDataCentre = ownDataCentre;
     this.locations = locations;
     this.peers = peers;
     this.nanoTime = nanoTime;
     this.random = random;
+    this.log = log;
   }
 
-  /** Takes a version of the desired state unless a later one is known. */
-  public void accept(RoutingState latest) {
-    if (routing.map(known -> known.version() < latest.version()).orElse(true)) {
+  /**
+   * Takes a version of the desired state unless a later one is known.
+   *
+   * @param latest the desired state
+   * @param revision the store's revision of it
+   */
+  public void accept(RoutingState latest, long revision) {
+    boolean newer = routing.map(known -> known.version() < latest.version()).orElse(true);
+    if (newer) {
       routing = Optional.of(latest);
+      desiredStateNanos = nanoTime.getAsLong();
+      log.record(
+          Decision.of(DecisionEvent.DESIRED_STATE_APPLIED)
+              .with("version", latest.version())
+              .with("revision", revision)
+              .with("routes", latest.routeCount()));
     }
   }
 
+  /** Returns the version of the desired state, 0 before one is known. */
+  long desiredStateVersion() {
+    return routing.map(RoutingState::version).orElse(0L);
+  }
+
+  /** Returns how long the desired state has been in force here. */
+  Duration desiredStateAge() {
+    return Duration.ofNanos(routing.isEmpty() ? 0 : nanoTime.getAsLong() - desiredStateNanos);
+  }
+
   /** Returns the desired state, if one is known. */
   public Optional<RoutingState> routing() {
     return routing;
@@ -81,12 +112,26 @@
 
   @Override
   public void onReplica(Replica replica) {
-    dispatcher(replica.service()).addReplica(replica);
+    if (dispatcher(replica.service()).addReplica(replica)) {
+      log.record(describe(DecisionEvent.REPLICA_ADDED, replica));
+    }
   }
 
   @Override
   public void onDeparture(Replica replica) {
-    dispatcher(replica.service()).removeReplica(replica);
+    if (dispatcher(replica.service()).removeReplica(replica)) {
+      log.record(
+          describe(DecisionEvent.REPLICA_DEPARTED, replica).with("announced", replica.leaving()));
+    }
+  }
+
+  private static Decision describe(DecisionEvent event, Replica replica) {
+    return Decision.of(event)
+        .with("replica", replica.id())
+        .with("born_millis", replica.bornMillis())
+        .with("service", replica.service())
+        .with("address", replica.address().toString())
+        .with("data_centre", replica.dataCentre());
   }
 
   /** Returns whether a replica still gets new work. */
@@ -121,6 +166,11 @@
     return engines;
   }
 
+  /** Returns the dispatchers by the names of their services. */
+  Map<String, ServiceDispatcher> dispatchers() {
+    return Collections.unmodifiableMap(dispatchers);
+  }
+
   /** Moves waiting requests on. */
   public void tick() {
     dispatchers.values().forEach(ServiceDispatcher::placeWaiting);
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
@@ -0,0 +1,141 @@
+package org.coltsfootvale.router.serving;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.dispatch.PeerPlacements;
+import org.coltsfootvale.core.dispatch.ReplicaState;
+import org.coltsfootvale.core.dispatch.ServiceDispatcher;
+import org.coltsfootvale.core.registry.RouterRegistry;
+import org.coltsfootvale.core.store.PrefixFollower;
+import org.coltsfootvale.core.support.Json;
+import org.coltsfootvale.router.metrics.Reading;
+
+/** What this router believes at this moment, with ages. Confined to the serving loop. */
+final class StateReport {
+
+  /** Entries of a list in the dump; what is left out is counted. */
+  private static final int ENTRIES_MAX = 500;
+
+  private static final double MILLIS_PER_SECOND = 1_000.0;
+
+  private final ServingState state;
+  private final RouterRegistry registry;
+  private final PeerPlacements placements;
+  private final List<PrefixFollower> followers;
+  private final BooleanSupplier ready;
+  private final LongSupplier nanoTime;
+
+  StateReport(
+      ServingState state,
+      RouterRegistry registry,
+      PeerPlacements placements,
+      List<PrefixFollower> followers,
+      BooleanSupplier ready,
+      LongSupplier nanoTime) {
+    this.state = state;
+    this.registry = registry;
+    this.placements = placements;
+    this.followers = List.copyOf(followers);
+    this.ready = ready;
+    this.nanoTime = nanoTime;
+  }
+
+  /** Returns the values of all gauges. */
+  List<Reading> readings() {
+    List<Reading> readings = new ArrayList<>();
+    readings.add(Reading.of("coltsfootvale.ready", ready.getAsBoolean() ? 1 : 0));
+    readings.add(Reading.of("coltsfootvale.requests.in.progress", state.active()));
+    readings.add(Reading.of("coltsfootvale.routers.known", registry.size()));
+    readings.add(Reading.of("coltsfootvale.peers.heard", placements.peers()));
+    readings.add(Reading.of("coltsfootvale.desired.state.version", state.desiredStateVersion()));
+    readings.add(
+        Reading.of(
+            "coltsfootvale.desired.state.age.seconds",
+            state.desiredStateAge().toMillis() / MILLIS_PER_SECOND));
+    for (PrefixFollower follower : followers) {
+      readings.add(
+          new Reading(
+              "coltsfootvale.store.current",
+              Map.of("prefix", follower.prefix()),
+              follower.current() ? 1 : 0));
+    }
+    state.dispatchers().forEach((service, dispatcher) -> readings.addAll(of(service, dispatcher)));
+    return readings;
+  }
+
+  private static List<Reading> of(String service, ServiceDispatcher dispatcher) {
+    Map<String, String> labels = Map.of("service", service);
+    List<ReplicaState> replicas = dispatcher.replicas();
+    int inFlight = replicas.stream().mapToInt(ReplicaState::inFlight).sum();
+    long suspended = replicas.stream().filter(replica -> replica.health().suspended()).count();
+    return List.of(
+        new Reading("coltsfootvale.requests.waiting", labels, dispatcher.waiting()),
+        new Reading("coltsfootvale.requests.at.replicas", labels, inFlight),
+        new Reading("coltsfootvale.replicas", labels, replicas.size()),
+        new Reading("coltsfootvale.replicas.suspended", labels, suspended));
+  }
+
+  /** Returns the whole state as JSON. */
+  String dump() {
+    ObjectNode dump = Json.MAPPER.createObjectNode();
+    dump.put("ready", ready.getAsBoolean());
+    dump.put("draining", state.draining());
+    dump.put("requests_in_progress", state.active());
+    dump.put("desired_state", state.desiredStateVersion());
+    dump.put("desired_state_age_millis", state.desiredStateAge().toMillis());
+    ArrayNode followed = dump.putArray("store");
+    for (PrefixFollower follower : followers) {
+      followed
+          .addObject()
+          .put("prefix", follower.prefix())
+          .put("revision", follower.knownRevision())
+          .put("keys", follower.known().size())
+          .put("current", follower.current());
+    }
+    ArrayNode routers = dump.putArray("routers");
+    registry.routers().stream()
+        .limit(ENTRIES_MAX)
+        .forEach(router -> routers.add(router.id() + " " + router.callerAddress()));
+    dump.put("routers_known", registry.size());
+    dump.put("peers_heard", placements.peers());
+    ObjectNode services = dump.putObject("services");
+    state
+        .dispatchers()
+        .forEach((service, dispatcher) -> describe(services.putObject(service), dispatcher));
+    return dump.toPrettyString() + "\n";
+  }
+
+  private void describe(ObjectNode service, ServiceDispatcher dispatcher) {
+    service.put("waiting", dispatcher.waiting());
+    service.put("replicas_known", dispatcher.replicas().size());
+    ArrayNode replicas = service.putArray("replicas");
+    dispatcher.replicas().stream()
+        .limit(ENTRIES_MAX)
+        .forEach(replica -> describe(replicas.addObject(), replica));
+  }
+
+  private void describe(ObjectNode entry, ReplicaState replica) {
+    long now = nanoTime.getAsLong();
+    entry
+        .put("id", replica.replica().id())
+        .put("address", replica.replica().address().toString())
+        .put("slots", replica.replica().slots())
+        .put("own_requests", replica.inFlight())
+        .put("requests_of_peers", placements.inFlightAt(replica.nameHash()))
+        .put("suspended", replica.health().suspended())
+        .put("failure_share", replica.health().failureShare())
+        .put("entry_age_millis", millis(now - replica.knownSinceNanos()))
+        .put("heard_age_millis", millis(now - replica.health().heardNanos()));
+    replica.reportAgeNanos(now).ifPresent(age -> entry.put("report_age_millis", millis(age)));
+  }
+
+  private static long millis(long nanos) {
+    return Duration.ofNanos(nanos).toMillis();
+  }
+}
