Take callers after a loss of all routers once the caches of all engines are known

Change: a router asks its share at once; after 120 ms what no router that is heard asks, after 300 ms all that is still unknown; it is ready when all caches are known, after 600 ms at the latest. The rule that any news end the census is wrong by the trace; its test now states that news of all caches do. A fleet secret that is too short is a typed error instead of a stack trace.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
@@ -2,29 +2,39 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.support.RendezvousHashing;
 
 /**
- * Decides which replicas a router that has just started asks for the parts that they hold. Another
- * router that was up before tells where parts are; only when none does, as after a loss of all
- * routers, is each replica asked, by one router. Confined to one thread.
+ * Decides which replicas a router that has just started asks for the parts that they hold, and when
+ * it knows enough to take callers. Other routers tell what they know; after a loss of all routers
+ * each replica is asked by the router that ranks first for it: first among the advertised routers,
+ * then among those that are heard, as others may still be starting, and at last by anyone. Confined
+ * to one thread.
  */
 public final class CacheCensus {
 
-  /** How long the other routers have to tell what they know, from the start. */
-  private static final Duration PEERS_TELL = Duration.ofMillis(250);
+  /** How long the advertised routers have: news between routers take some 50 ms, a start longer. */
+  private static final Duration ADVERTISED_ASK = Duration.ofMillis(120);
 
-  /** How long callers are kept away at most until the replicas have answered. */
-  private static final Duration ANSWERS_MAX = Duration.ofMillis(700);
+  /** How long the routers that are heard have; half a period of news in a fleet of a hundred. */
+  private static final Duration HEARD_ASK = Duration.ofMillis(300);
+
+  /** How long callers are kept away at most until the caches of all replicas are known. */
+  private static final Duration WAIT_MAX = Duration.ofMillis(600);
 
   private final boolean firstStart;
   private final PromptLocations locations;
   private final LongSupplier nanoTime;
-  private final long startNanos;
-  private boolean decided;
+  private final Set<Replica> asked = new HashSet<>();
+  private boolean begun;
+  private boolean finished;
+  private long begunNanos;
   private int unanswered;
 
   /**
@@ -38,36 +48,44 @@
     this.firstStart = firstStart;
     this.locations = locations;
     this.nanoTime = nanoTime;
-    this.startNanos = nanoTime.getAsLong();
   }
 
   /**
-   * Returns the replicas to ask now; each is returned at most once.
+   * Returns the replicas to ask now; each is returned at most once. To be called again and again
+   * from the time on at which the replicas are known.
    *
    * @param routerId this router
-   * @param routerIds all live routers, this one included
+   * @param advertisedIds the routers that are advertised
+   * @param heardIds the other routers that are heard
    * @param engines the replicas that have a cache
    */
-  public List<Replica> due(String routerId, List<String> routerIds, List<Replica> engines) {
-    if (decided || engines.isEmpty()) {
-      return List.of();
+  public List<Replica> due(
+      String routerId,
+      Collection<String> advertisedIds,
+      Collection<String> heardIds,
+      List<Replica> engines) {
+    long now = nanoTime.getAsLong();
+    if (!begun) {
+      begun = true;
+      begunNanos = now;
+      finished = firstStart;
     }
-    if (firstStart || !locations.isEmpty()) {
-      decided = true;
+    if (finished) {
       return List.of();
     }
-    if (nanoTime.getAsLong() - startNanos < PEERS_TELL.toNanos()) {
-      return List.of();
-    }
-    decided = true;
-    List<Replica> own = new ArrayList<>();
-    for (Replica engine : engines) {
-      if (routerId.equals(asker(engine, routerIds))) {
-        own.add(engine);
+    List<Replica> unknown = unknown(engines);
+    Set<String> askers = askers(routerId, advertisedIds, heardIds, now - begunNanos);
+    List<Replica> due = new ArrayList<>();
+    for (Replica engine : unknown) {
+      if (routerId.equals(firstRanked(engine, askers))) {
+        due.add(engine);
       }
     }
-    unanswered = own.size();
-    return own;
+    asked.addAll(due);
+    unanswered += due.size();
+    boolean allAsked = due.size() == unknown.size();
+    finished = (allAsked && unanswered <= 0) || now - begunNanos >= WAIT_MAX.toNanos();
+    return due;
   }
 
   /** Takes note that a replica has answered, or that it does not. */
@@ -77,11 +95,33 @@
 
   /** Returns whether callers can be taken: all is known that will be known shortly. */
   public boolean finished() {
-    boolean answered = decided && unanswered <= 0;
-    return answered || nanoTime.getAsLong() - startNanos >= ANSWERS_MAX.toNanos();
+    return finished;
+  }
+
+  private List<Replica> unknown(List<Replica> engines) {
+    Set<Long> caches = locations.caches();
+    return engines.stream()
+        .filter(engine -> !asked.contains(engine))
+        .filter(engine -> !caches.contains(ReplicaState.cacheHash(engine)))
+        .toList();
+  }
+
+  private static Set<String> askers(
+      String routerId,
+      Collection<String> advertisedIds,
+      Collection<String> heardIds,
+      long elapsedNanos) {
+    Set<String> askers = new HashSet<>();
+    if (elapsedNanos < ADVERTISED_ASK.toNanos()) {
+      askers.addAll(advertisedIds);
+    } else if (elapsedNanos < HEARD_ASK.toNanos()) {
+      askers.addAll(heardIds);
+    }
+    askers.add(routerId);
+    return askers;
   }
 
-  private static String asker(Replica engine, List<String> routerIds) {
+  private static String firstRanked(Replica engine, Collection<String> routerIds) {
     long engineHash = RendezvousHashing.hash(engine.id());
     String best = "";
     double bestScore = Double.NEGATIVE_INFINITY;
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
@@ -57,6 +58,11 @@
     totals.remove(replicaHash, 0);
   }
 
+  /** Returns the ids of the other routers that are heard. */
+  public Set<String> heardIds() {
+    return Set.copyOf(heardByPeer.keySet());
+  }
+
   /** Returns the number of other routers that are heard. */
   public int peers() {
     return heardByPeer.size();
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -84,9 +85,11 @@
     return all;
   }
 
-  /** Returns whether nothing is known. */
-  public boolean isEmpty() {
-    return usedNanosByPart.isEmpty();
+  /** Returns the hashes of the caches of which any part is known. */
+  Set<Long> caches() {
+    Set<Long> caches = new HashSet<>();
+    usedNanosByPart.values().forEach(used -> caches.addAll(used.keySet()));
+    return caches;
   }
 
   /** Returns the hashes of the caches that hold a part. */
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/CacheCensusTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/CacheCensusTest.java
@@ -18,6 +18,7 @@
 public class CacheCensusTest {
 
   private static final List<String> ROUTERS = List.of("a", "b", "c");
+  private static final List<String> NONE = List.of();
 
   private AtomicLong now = new AtomicLong();
   private PromptLocations locations = create();
@@ -29,53 +30,105 @@
   }
 
   @Test
-  public void afterALossOfAllRoutersEachReplicaIsAskedByOneOfThem() {
+  public void afterALossOfAllRoutersEachReplicaIsAskedAtOnceByOneOfThem() {
     List<Replica> asked = new ArrayList<>();
     for (String router : ROUTERS) {
-      CacheCensus census = new CacheCensus(false, locations, now::get);
-      now.addAndGet(TimeUnit.MILLISECONDS.toNanos(300));
-      asked.addAll(census.due(router, ROUTERS, engines()));
+      asked.addAll(
+          new CacheCensus(false, locations, now::get).due(router, ROUTERS, NONE, engines()));
     }
     assertEquals(asked.size(), engines().size());
     assertTrue(asked.containsAll(engines()));
   }
 
   @Test
-  public void noReplicaIsAskedOnceAnotherRouterHasTold() {
+  public void theFirstRouterThatStartsAsksForThoseThatAreStillStarting() {
+    CacheCensus census = new CacheCensus(false, locations, now::get);
+    List<Replica> own = census.due("a", ROUTERS, NONE, engines());
+    own.forEach(engine -> census.answered());
+    assertFalse(census.finished());
+    pass(130);
+    List<Replica> rest = census.due("a", ROUTERS, NONE, engines());
+    assertEquals(own.size() + rest.size(), engines().size());
+    rest.forEach(engine -> census.answered());
+    census.due("a", ROUTERS, NONE, engines());
+    assertTrue(census.finished());
+  }
+
+  @Test
+  public void routersThatAreHeardShareTheReplicasOfThoseThatAreNot() {
+    List<Replica> asked = new ArrayList<>();
+    for (String router : List.of("a", "b")) {
+      CacheCensus census = new CacheCensus(false, locations, now::get);
+      asked.addAll(census.due(router, ROUTERS, NONE, engines()));
+      pass(130);
+      String other = router.equals("a") ? "b" : "a";
+      asked.addAll(census.due(router, ROUTERS, List.of(other), engines()));
+    }
+    assertTrue(asked.containsAll(engines()));
+    assertEquals(asked.size(), engines().size());
+  }
+
+  @Test
+  public void aRouterThatHeardOfSomeCachesOnlyIsNotYetReady() {
+    locations.heard(cacheOf(engines().get(0)));
     CacheCensus census = new CacheCensus(false, locations, now::get);
-    locations.heard(new PromptLocations.Placed(1, 2));
-    assertEquals(census.due("a", ROUTERS, engines()), List.of());
+    census.due("z", ROUTERS, NONE, engines());
+    assertFalse(census.finished());
+  }
+
+  @Test
+  public void noReplicaIsAskedOnceOtherRoutersHaveToldOfAllCaches() {
+    CacheCensus census = new CacheCensus(false, locations, now::get);
+    engines().forEach(engine -> locations.heard(cacheOf(engine)));
+    assertEquals(census.due("a", ROUTERS, NONE, engines()), List.of());
     assertTrue(census.finished());
   }
 
   @Test
   public void noReplicaIsAskedAtTheFirstStart() {
     CacheCensus census = new CacheCensus(true, locations, now::get);
-    assertEquals(census.due("a", ROUTERS, engines()), List.of());
+    assertEquals(census.due("a", ROUTERS, NONE, engines()), List.of());
     assertTrue(census.finished());
   }
 
   @Test
   public void callersAreKeptAwayUntilTheAnswersAreIn() {
     CacheCensus census = new CacheCensus(false, locations, now::get);
-    now.addAndGet(TimeUnit.MILLISECONDS.toNanos(300));
-    List<Replica> due = census.due("a", List.of("a"), engines());
-    due.forEach(
-        engine -> {
-          assertFalse(census.finished());
-          census.answered();
-        });
+    List<Replica> due = census.due("a", List.of("a"), NONE, engines());
+    assertEquals(due.size(), engines().size());
+    census.due("a", List.of("a"), NONE, engines());
+    assertFalse(census.finished());
+    due.forEach(engine -> census.answered());
+    census.due("a", List.of("a"), NONE, engines());
     assertTrue(census.finished());
   }
 
   @Test
   public void callersAreNotKeptAwayForLongWhenNothingAnswers() {
     CacheCensus census = new CacheCensus(false, locations, now::get);
+    census.due("a", ROUTERS, NONE, engines());
     assertFalse(census.finished());
-    now.addAndGet(TimeUnit.SECONDS.toNanos(1));
+    pass(1_000);
+    census.due("a", ROUTERS, NONE, engines());
     assertTrue(census.finished());
   }
 
+  @Test
+  public void replicasThatJoinLaterAreNotAsked() {
+    CacheCensus census = new CacheCensus(false, locations, now::get);
+    census.due("a", ROUTERS, NONE, List.of());
+    assertTrue(census.finished());
+    assertEquals(census.due("a", List.of("a"), NONE, engines()), List.of());
+  }
+
+  private void pass(long millis) {
+    now.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
+  }
+
+  private static PromptLocations.Placed cacheOf(Replica engine) {
+    return new PromptLocations.Placed(1, ReplicaState.cacheHash(engine));
+  }
+
   private PromptLocations create() {
     return new PromptLocations(Duration.ofSeconds(60), () -> now.get());
   }
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/HandshakeProofs.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/HandshakeProofs.java
@@ -20,8 +20,6 @@
   /** The bytes of a nonce. */
   static final int NONCE_BYTES = 16;
 
-  private static final int SECRET_LENGTH_MIN = 16;
-
   private final List<SecretKeySpec> keys;
 
   /**
@@ -33,9 +31,9 @@
     Checks.argument(!secrets.isEmpty(), "give at least one fleet secret");
     for (String secret : secrets) {
       Checks.argument(
-          secret.length() >= SECRET_LENGTH_MIN,
+          secret.length() >= PeerTransport.SECRET_LENGTH_MIN,
           "a fleet secret must have at least %d characters",
-          SECRET_LENGTH_MIN);
+          PeerTransport.SECRET_LENGTH_MIN);
     }
     keys =
         secrets.stream()
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerTransport.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerTransport.java
@@ -14,6 +14,9 @@
  */
 public interface PeerTransport extends Service {
 
+  /** The characters that a fleet secret has at least: 64 bits even of hexadecimal digits. */
+  int SECRET_LENGTH_MIN = 16;
+
   /**
    * Sends a one-way message. Never blocks.
    *
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -74,6 +74,7 @@
   private final ServingState state;
   private final PromptLocations locations;
   private final CacheCensus census;
+  private final PeerPlacements placements;
   private final CacheInspector inspector;
   private final ReplicaTable replicas;
   private final RouterRegistry registry;
@@ -123,8 +124,8 @@
     registry = new RouterRegistry(self, LAPSE_GRACE, nanoTime);
     locations = new PromptLocations(CACHE_LIFE, nanoTime);
     census = new CacheCensus(settings.firstStart(), locations, nanoTime);
-    PeerPlacements placements = new PeerPlacements(PEER_LIFE, nanoTime);
-    state = servingState(placements, random);
+    placements = new PeerPlacements(PEER_LIFE, nanoTime);
+    state = servingState(random);
     replicas = new ReplicaTable(LAPSE_GRACE, nanoTime, new ReplicaListener());
     links = new ReplicaLinks(loop, nanoTime);
     RequestStarter starter =
@@ -158,7 +159,7 @@
             InstantSource.system());
     pauseWatch = new PauseWatch(nanoTime, System::currentTimeMillis);
     smallListeners = smallListeners(new EntryPoints(registry, this::ready), formats);
-    observation = observation(new MetricsPage(metrics, counted), placements);
+    observation = observation(new MetricsPage(metrics, counted));
   }
 
   private static RouterAdvertisement advertisementOf(EntrySettings settings) {
@@ -166,7 +167,7 @@
         settings.id(), settings.dataCentre(), settings.callerAddress(), settings.peerAddress());
   }
 
-  private ServingState servingState(PeerPlacements placements, UniformRandomProvider random) {
+  private ServingState servingState(UniformRandomProvider random) {
     return new ServingState(
         DispatchOptions.defaults(),
         settings.dataCentre(),
@@ -177,7 +178,7 @@
         log);
   }
 
-  private Optional<ObservationListener> observation(MetricsPage page, PeerPlacements placements) {
+  private Optional<ObservationListener> observation(MetricsPage page) {
     StateReport report =
         new StateReport(
             state,
@@ -296,7 +297,9 @@
 
   private void inspectCaches() {
     List<String> routerIds = registry.routers().stream().map(RouterAdvertisement::id).toList();
-    for (Replica engine : census.due(settings.id(), routerIds, state.engines())) {
+    List<Replica> due =
+        census.due(settings.id(), routerIds, placements.heardIds(), state.engines());
+    for (Replica engine : due) {
       var unused =
           inspector
               .heldParts(engine.address())
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.support.Checks;
+import org.coltsfootvale.protocol.PeerTransport;
 
 /**
  * What an entry router needs to know to start.
@@ -41,8 +43,16 @@
     Duration repeatWindow,
     Optional<MetricsAddress> metrics) {
 
-  /** Copies the list. */
+  /**
+   * Copies the list and checks the secret.
+   *
+   * @throws IllegalArgumentException if the secret is too short
+   */
   public EntrySettings {
+    Checks.argument(
+        fleetSecret.length() >= PeerTransport.SECRET_LENGTH_MIN,
+        "the fleet secret is too short; give it %d characters or more",
+        PeerTransport.SECRET_LENGTH_MIN);
     seeds = List.copyOf(seeds);
   }
 
@@ -56,7 +66,7 @@
         directoryAddress,
         peerAddress,
         seeds,
-        "(secret)",
+        "(the secret is not shown)",
         storeAddress,
         firstStart,
         stopTimeout,
