Renew advertisements less often; leave silent routers out of the answers to callers

Ruled out: the wait for the desired state and for replicas stays at 5 s, as a silent call must be noticed. Lists longer than 64 routers begin elsewhere with each answer.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.store.LapsingTable;
@@ -17,7 +19,15 @@
   /** The prefix of the keys under which routers advertise themselves. */
   public static final String PREFIX = "coltsfootvale/routers/";
 
+  /**
+   * How long a router counts as live that was just advertised and is not heard yet: a connection
+   * between two routers that are both starting takes about a second.
+   */
+  private static final Duration FIRST_NEWS_MAX = Duration.ofSeconds(2);
+
   private final RouterAdvertisement self;
+  private final LongSupplier nanoTime;
+  private final Map<String, Long> advertisedNanosById = new HashMap<>();
   private final LapsingTable<RouterAdvertisement> routers;
 
   /**
@@ -29,7 +39,10 @@
    */
   public RouterRegistry(RouterAdvertisement self, Duration lapseGrace, LongSupplier nanoTime) {
     this.self = self;
-    this.routers = new LapsingTable<>(lapseGrace, nanoTime, (key, router) -> {});
+    this.nanoTime = nanoTime;
+    this.routers =
+        new LapsingTable<>(
+            lapseGrace, nanoTime, (key, router) -> advertisedNanosById.remove(router.id()));
   }
 
   @Override
@@ -48,7 +61,11 @@
         .value()
         .flatMap(RouterAdvertisement::decode)
         .ifPresentOrElse(
-            router -> routers.put(entry.key(), router), () -> routers.remove(entry.key(), false));
+            router -> {
+              routers.put(entry.key(), router);
+              advertisedNanosById.put(router.id(), nanoTime.getAsLong());
+            },
+            () -> routers.remove(entry.key(), false));
   }
 
   @Override
@@ -61,12 +78,12 @@
     routers.expire();
   }
 
-  /** Returns the number of live routers, this one included; at least 1. */
+  /** Returns the number of advertised routers, this one included; at least 1. */
   public int size() {
     return routers().size();
   }
 
-  /** Returns the live routers, this one included. */
+  /** Returns the advertised routers, this one included. */
   public List<RouterAdvertisement> routers() {
     List<RouterAdvertisement> all = new ArrayList<>(routers.all());
     if (all.stream().noneMatch(router -> router.id().equals(self.id()))) {
@@ -76,7 +93,35 @@
     return all;
   }
 
-  /** Returns the other live routers. */
+  /**
+   * Returns the advertised routers, this one included, without those that have fallen silent: an
+   * advertisement outlives its router by its lease. A router that hears nobody takes itself for the
+   * one that is cut off and returns all.
+   *
+   * @param heardIds the other routers that were heard lately
+   */
+  public List<RouterAdvertisement> live(Set<String> heardIds) {
+    List<RouterAdvertisement> all = routers();
+    if (heardIds.isEmpty()) {
+      return all;
+    }
+    long now = nanoTime.getAsLong();
+    return all.stream()
+        .filter(
+            router ->
+                isSelf(router)
+                    || heardIds.contains(router.id())
+                    || now - advertisedNanosById.getOrDefault(router.id(), now)
+                        < FIRST_NEWS_MAX.toNanos())
+        .toList();
+  }
+
+  /** Returns whether an advertisement is this router's. */
+  public boolean isSelf(RouterAdvertisement router) {
+    return router.id().equals(self.id());
+  }
+
+  /** Returns the other advertised routers. */
   public List<RouterAdvertisement> peers() {
     return routers().stream().filter(router -> !router.id().equals(self.id())).toList();
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -23,9 +23,6 @@
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-  /** The longest wait of one call; the store allows 30 s, but a silent call must be noticed. */
-  private static final Duration WAIT = Duration.ofSeconds(5);
-
   private static final Duration PAUSE_MIN = Duration.ofMillis(100);
   private static final Duration PAUSE_MAX = Duration.ofMillis(800);
 
@@ -45,6 +42,8 @@
   private final RevisionedStore store;
   private final String prefix;
   private final Listener listener;
+  private final Duration wait;
+  private final Duration settle;
   private final Scheduler scheduler;
   private final DoubleSupplier random;
   private final DecisionLog log;
@@ -62,6 +61,8 @@
    * @param store the store
    * @param prefix the beginning of the keys
    * @param listener hears of readings and changes
+   * @param wait the longest wait of one call for changes
+   * @param settle the pause after a change, in which further ones gather at the store
    * @param scheduler runs the next call
    * @param random gives numbers in [0, 1) that spread pauses
    * @param log takes the loss and the return of the store
@@ -70,12 +71,16 @@
       RevisionedStore store,
       String prefix,
       Listener listener,
+      Duration wait,
+      Duration settle,
       Scheduler scheduler,
       DoubleSupplier random,
       DecisionLog log) {
     this.store = store;
     this.prefix = prefix;
     this.listener = listener;
+    this.wait = wait;
+    this.settle = settle;
     this.scheduler = scheduler;
     this.random = random;
     this.log = log;
@@ -148,7 +153,7 @@
     }
     var unused =
         store
-            .awaitChanges(prefix, revision, WAIT)
+            .awaitChanges(prefix, revision, wait)
             .whenComplete(
                 (changes, failure) -> {
                   if (stale(started)) {
@@ -160,11 +165,19 @@
                     succeeded();
                     changes.entries().forEach(this::changed);
                     knownRevision = Math.max(knownRevision, changes.revision());
-                    awaitChanges(started, changes.revision());
+                    awaitNext(started, changes);
                   }
                 });
   }
 
+  private void awaitNext(long started, StoreChanges changes) {
+    if (changes.entries().isEmpty() || settle.isZero()) {
+      awaitChanges(started, changes.revision());
+    } else {
+      scheduler.schedule(settle, () -> awaitChanges(started, changes.revision()));
+    }
+  }
+
   private void take(List<StoreEntry> entries, long revision) {
     everRead = true;
     known.clear();
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/RouterRegistryTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/RouterRegistryTest.java
@@ -6,17 +6,25 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.store.StoreEntry;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+@Test(singleThreaded = true)
 public class RouterRegistryTest {
 
-  private final AtomicLong now = new AtomicLong();
-  private final RouterRegistry registry =
-      new RouterRegistry(router("self"), Duration.ofSeconds(2), () -> now.get());
+  private AtomicLong now = new AtomicLong();
+  private RouterRegistry registry = create();
+
+  @BeforeMethod
+  void reset() {
+    now = new AtomicLong();
+    registry = create();
+  }
 
   @Test
   public void aRouterKnowsItselfWithoutTheStore() {
@@ -48,6 +56,33 @@
     assertEquals(lapsing.size(), 1);
   }
 
+  @Test
+  public void aRouterThatFallsSilentIsNoLongerLiveThoughItsAdvertisementIsThere() {
+    registry.onReading(List.of(entry("a"), entry("b")));
+    now.addAndGet(TimeUnit.SECONDS.toNanos(3));
+    assertEquals(registry.live(Set.of("a")), List.of(router("a"), router("self")));
+    assertEquals(registry.live(Set.of("a", "b")).size(), 3);
+  }
+
+  @Test
+  public void aRouterThatWasJustAdvertisedIsLiveBeforeItIsHeard() {
+    registry.onReading(List.of(entry("a")));
+    now.addAndGet(TimeUnit.SECONDS.toNanos(3));
+    registry.onChange(entry("new"));
+    assertEquals(registry.live(Set.of("a")), List.of(router("a"), router("new"), router("self")));
+  }
+
+  @Test
+  public void aRouterThatHearsNobodyReturnsAllAdvertisedOnes() {
+    registry.onReading(List.of(entry("a"), entry("b")));
+    now.addAndGet(TimeUnit.SECONDS.toNanos(3));
+    assertEquals(registry.live(Set.of()).size(), 3);
+  }
+
+  private RouterRegistry create() {
+    return new RouterRegistry(router("self"), Duration.ofSeconds(2), () -> now.get());
+  }
+
   private static StoreEntry entry(String id) {
     return new StoreEntry(RouterRegistry.PREFIX + id, Optional.of(router(id).encode()), 1);
   }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -18,6 +19,7 @@
   private ScriptedStore store = new ScriptedStore();
   private List<String> told = new ArrayList<>();
   private List<Runnable> later = new ArrayList<>();
+  private Duration settle = Duration.ZERO;
   private PrefixFollower follower = create();
 
   @BeforeMethod
@@ -25,6 +27,7 @@
     store = new ScriptedStore();
     told = new ArrayList<>();
     later = new ArrayList<>();
+    settle = Duration.ZERO;
     follower = create();
     follower.start();
   }
@@ -98,6 +101,21 @@
     assertEquals(follower.known(), List.of(entry("p/a", 5)));
   }
 
+  @Test
+  public void changesGatherAtTheStoreBeforeTheNextCallWhereThatIsAllowed() {
+    settle = Duration.ofMillis(250);
+    store = new ScriptedStore();
+    follower = create();
+    follower.start();
+    readEmpty();
+    store.answer(new StoreChanges(List.of(entry("p/a", 11)), 15));
+    assertEquals(store.calls.size(), 2);
+    runLater();
+    assertEquals(store.lastCall(), "changes of p/ after 15");
+    store.answer(new StoreChanges(List.of(), 16));
+    assertEquals(store.lastCall(), "changes of p/ after 16");
+  }
+
   private void readEmpty() {
     store.answer(new StorePage(List.of(), true, 10));
   }
@@ -127,7 +145,14 @@
           }
         };
     return new PrefixFollower(
-        store, "p/", listener, (delay, task) -> later.add(task), () -> 0.5, DecisionLog.NONE);
+        store,
+        "p/",
+        listener,
+        Duration.ofSeconds(5),
+        settle,
+        (delay, task) -> later.add(task),
+        () -> 0.5,
+        DecisionLog.NONE);
   }
 
   private static String describe(StoreEntry entry) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryPoints.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryPoints.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.registry.RouterRegistry;
@@ -24,10 +27,13 @@
   private static final int LOCAL_MIN = 8;
 
   private final RouterRegistry registry;
+  private final Supplier<Set<String>> heardIds;
   private final BooleanSupplier ready;
+  private int answers;
 
-  EntryPoints(RouterRegistry registry, BooleanSupplier ready) {
+  EntryPoints(RouterRegistry registry, Supplier<Set<String>> heardIds, BooleanSupplier ready) {
     this.registry = registry;
+    this.heardIds = heardIds;
     this.ready = ready;
   }
 
@@ -38,11 +44,15 @@
 
   /** Returns the routers for a caller in a data centre. */
   public EntryAnswer forCallerIn(String dataCentre) {
-    List<RouterAdvertisement> live =
-        new ArrayList<>(ready() ? registry.routers() : registry.peers());
+    List<RouterAdvertisement> live = new ArrayList<>(registry.live(heardIds.get()));
+    if (!ready()) {
+      live.removeIf(router -> registry.isSelf(router));
+    }
     List<RouterAdvertisement> local =
         live.stream().filter(router -> router.dataCentre().equals(dataCentre)).toList();
-    List<RouterAdvertisement> chosen = local.size() >= LOCAL_MIN ? local : live;
+    List<RouterAdvertisement> chosen = new ArrayList<>(local.size() >= LOCAL_MIN ? local : live);
+    // Each answer begins elsewhere, so that callers find all routers of a long list.
+    Collections.rotate(chosen, answers++);
     List<HostPort> addresses =
         chosen.stream().limit(ROUTERS_MAX).map(RouterAdvertisement::callerAddress).toList();
     return new EntryAnswer(addresses, TIME_TO_LIVE);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
@@ -44,8 +43,11 @@
   /** Entries that lapsed during an outage of the store are back within about two seconds. */
   private static final Duration LAPSE_GRACE = Duration.ofMillis(2_200);
 
-  /** How long a router that has died without notice stays in the answers to callers. */
-  private static final Duration ADVERTISEMENT_LIFE = Duration.ofSeconds(3);
+  /**
+   * How long an advertisement outlives its router. Its renewals are priced calls; that a router has
+   * died is noticed by its silence towards the others, much sooner.
+   */
+  private static final Duration ADVERTISEMENT_LIFE = Duration.ofSeconds(20);
 
   /** How long after its last use a part of a prompt is taken to be in a replica's cache. */
   private static final Duration CACHE_LIFE = Duration.ofSeconds(60);
@@ -136,7 +138,7 @@
     desiredState =
         following.follow(formats.desiredStateKey(), new DesiredStateFeed(formats, state, this.log));
     replicaEntries = following.follow(formats.replicaPrefix(), new ReplicaFeed(formats, replicas));
-    routerEntries = following.follow(RouterRegistry.PREFIX, registry);
+    routerEntries = following.advertisements(registry);
     advertisement =
         new LeaseKeeper(
             counted,
@@ -158,7 +160,8 @@
             random::nextDouble,
             InstantSource.system());
     pauseWatch = new PauseWatch(nanoTime, System::currentTimeMillis);
-    smallListeners = smallListeners(new EntryPoints(registry, this::ready), formats);
+    smallListeners =
+        smallListeners(new EntryPoints(registry, placements::heardIds, this::ready), formats);
     observation = observation(new MetricsPage(metrics, counted));
   }
 
@@ -380,13 +383,4 @@
       }
     }
   }
-
-  /** Creates the followers of the store, which share all but their prefix and listener. */
-  private record StoreFollowers(
-      RevisionedStore store, ServingLoop loop, DoubleSupplier random, DecisionLog log) {
-
-    PrefixFollower follow(String prefix, PrefixFollower.Listener listener) {
-      return new PrefixFollower(store, prefix, listener, loop, random, log);
-    }
-  }
 }
