--- a/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/ExitCode.java
+++ b/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/ExitCode.java
@@ -17,7 +17,9 @@
   /** The request may or may not have run. */
   OUTCOME_UNKNOWN(6),
   /** A trace does not end as it states. */
-  MISMATCHED(7);
+  MISMATCHED(7),
+  /** What was asked for is not in the files given. */
+  NOT_FOUND(8);
 
   private final int number;
 
--- a/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/Invocation.java
+++ b/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/Invocation.java
@@ -80,6 +80,20 @@
     return arguments.get(0);
   }
 
+  /**
+   * Returns all arguments, at least one.
+   *
+   * @throws CliException if there is none
+   */
+  List<String> arguments(String meaning) {
+    List<String> arguments = line.getArgList();
+    if (arguments.isEmpty()) {
+      throw CliException.usage(
+          "the command needs %s".formatted(meaning), "Give %s or several.".formatted(meaning));
+    }
+    return arguments;
+  }
+
   /**
    * Checks that there are no arguments.
    *
--- a/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/Main.java
+++ b/coltsfootvale-cli/src/main/java/org/coltsfootvale/cli/Main.java
@@ -122,6 +122,8 @@
     commands.addAll(RouterCommands.all());
     commands.add(new AskCommand());
     commands.add(new ReplayCommand());
+    commands.add(new ExplainCommand());
+    commands.add(new SummaryCommand());
     return List.copyOf(commands);
   }
 }
--- a/coltsfootvale-cli/src/test/java/org/coltsfootvale/cli/MainTest.java
+++ b/coltsfootvale-cli/src/test/java/org/coltsfootvale/cli/MainTest.java
@@ -247,7 +247,9 @@
             "ask",
             "state",
             "settings check",
-            "replay")) {
+            "replay",
+            "explain",
+            "summary")) {
       out.reset();
       List<String> arguments = new ArrayList<>(Arrays.asList(name.split(" ", -1)));
       arguments.add("--help");
