--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
@@ -48,6 +48,7 @@
     this.firstStart = firstStart;
     this.locations = locations;
     this.nanoTime = nanoTime;
+    locations.complete(firstStart);
   }
 
   /**
@@ -85,6 +86,7 @@
     unanswered += due.size();
     boolean allAsked = due.size() == unknown.size();
     finished = (allAsked && unanswered <= 0) || now - begunNanos >= WAIT_MAX.toNanos();
+    locations.complete(finished);
     return due;
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
@@ -37,6 +37,7 @@
         }
       };
   private List<Placed> news = new ArrayList<>();
+  private boolean complete = true;
 
   /**
    * Creates empty knowledge.
@@ -85,6 +86,16 @@
     return all;
   }
 
+  /** Takes note whether more is about to become known, as when a router has just started. */
+  void complete(boolean latest) {
+    complete = latest;
+  }
+
+  /** Returns whether all is known that will be known shortly. */
+  boolean complete() {
+    return complete;
+  }
+
   /** Returns the hashes of the caches of which any part is known. */
   Set<Long> caches() {
     Set<Long> caches = new HashSet<>();
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -212,8 +212,17 @@
   }
 
   private @Nullable Placement choose(Work work) {
-    ReplicaChoice choice = work.description().prompt().isEmpty() ? leastLoadChoice : promptChoice;
-    return choice.choose(work, replicas.values());
+    if (work.description().prompt().isEmpty()) {
+      return leastLoadChoice.choose(work, replicas.values());
+    }
+    return awaitsLocations(work) ? null : promptChoice.choose(work, replicas.values());
+  }
+
+  /** Holds a prompt that is dear to read while this router is still learning who holds it. */
+  private boolean awaitsLocations(Work work) {
+    return !locations.complete()
+        && work.description().sharedTokens() >= options.costlyTokens()
+        && nanoTime.getAsLong() < waitEndNanos(work);
   }
 
   private long waitEndNanos(Work work) {
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/PromptPlacementTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/PromptPlacementTest.java
@@ -5,8 +5,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.support.RendezvousHashing;
 import org.testng.annotations.Test;
@@ -136,4 +138,40 @@
       assertEquals(place(prompt("part", LONG)), copy);
     }
   }
+
+  @Test
+  public void afterAStartALongPromptWaitsUntilItsHoldersAreKnown() {
+    addReplicas(6);
+    String home = place(prompt("part", LONG));
+    String holder = home.equals("r0") ? "r1" : "r0";
+    locations = locations();
+    dispatcher = create();
+    addReplicas(6);
+    locations.complete(false);
+    Held waiting = new Held(prompt("part", LONG));
+    dispatcher.submit(waiting);
+    assertEquals(waiting.placements, 0);
+    locations.listed(replica(holder), List.of("part"));
+    locations.complete(true);
+    dispatcher.placeWaiting();
+    assertEquals(waiting.placed().replica().id(), holder);
+  }
+
+  @Test
+  public void afterAStartAShortPromptIsPlacedAtOnce() {
+    addReplicas(6);
+    locations.complete(false);
+    assertNotEquals(hold(prompt("part", SHORT)), "");
+  }
+
+  @Test
+  public void aLongPromptIsPlacedRatherThanTurnedAwayWhenItsHoldersStayUnknown() {
+    addReplicas(6);
+    locations.complete(false);
+    Held waiting = new Held(prompt("part", LONG));
+    dispatcher.submit(waiting);
+    now.addAndGet(TimeUnit.MILLISECONDS.toNanos(501));
+    dispatcher.placeWaiting();
+    assertEquals(waiting.placements, 1);
+  }
 }
