Learn from other routers what a lost call for changes does not tell; wait 15 s a call

Ruled out: polling; one call for all prefixes (the store documents one prefix a call). Change: news carry the revision of the latest change seen of each prefix; who lacks a change for 500 ms asks the router that has it, and replaces its own call. Calls wait 15 s. Tests: the lag without I/O, the replaced call.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -49,6 +49,7 @@
   private final DecisionLog log;
   private final Map<String, StoreEntry> known = new HashMap<>();
   private long knownRevision;
+  private long latestChange;
   private boolean running;
   private long generation;
   private int failuresInRow;
@@ -181,7 +182,11 @@
   private void take(List<StoreEntry> entries, long revision) {
     everRead = true;
     known.clear();
-    entries.forEach(entry -> known.put(entry.key(), entry));
+    entries.forEach(
+        entry -> {
+          known.put(entry.key(), entry);
+          latestChange = Math.max(latestChange, entry.revision());
+        });
     knownRevision = revision;
     listener.onReading(entries);
   }
@@ -193,8 +198,14 @@
    * @param revision the store's revision up to which they are known
    */
   public void learn(List<StoreEntry> entries, long revision) {
-    if (revision > knownRevision) {
-      take(entries, revision);
+    if (revision <= knownRevision) {
+      return;
+    }
+    take(entries, revision);
+    if (current()) {
+      // The call under way may be lost, and what it tells is older than what is known now.
+      generation++;
+      awaitChanges(generation, revision);
     }
   }
 
@@ -203,6 +214,11 @@
     return List.copyOf(known.values());
   }
 
+  /** Returns the revision of the latest change that was seen; 0 before the first. */
+  public long latestChange() {
+    return latestChange;
+  }
+
   /** Returns the store's revision up to which the keys are known; 0 before the first reading. */
   public long knownRevision() {
     return knownRevision;
@@ -215,6 +231,7 @@
 
   /** Pages are read one after the other, so a change may be older than what a later page held. */
   private void changed(StoreEntry entry) {
+    latestChange = Math.max(latestChange, entry.revision());
     StoreEntry before = known.get(entry.key());
     if (before != null && entry.revision() <= before.revision()) {
       return;
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
@@ -116,6 +116,18 @@
     assertEquals(store.lastCall(), "changes of p/ after 16");
   }
 
+  @Test
+  public void aCallThatIsLostIsReplacedOnceAnotherRouterHasToldTheChanges() {
+    readEmpty();
+    follower.learn(List.of(entry("p/a", 14)), 15);
+    assertEquals(store.lastCall(), "changes of p/ after 15");
+    assertEquals(follower.latestChange(), 14);
+    store.answer(new StoreChanges(List.of(entry("p/late", 12)), 13));
+    assertEquals(told, List.of("reading", "reading p/a@14"));
+    store.answer(new StoreChanges(List.of(entry("p/b", 16)), 17));
+    assertEquals(told, List.of("reading", "reading p/a@14", "change p/b@16"));
+  }
+
   private void readEmpty() {
     store.answer(new StorePage(List.of(), true, 10));
   }
--- /dev/null
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/RevisionLagTest.java
@@ -0,0 +1,68 @@
+package org.coltsfootvale.core.store;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+@Test(singleThreaded = true)
+public class RevisionLagTest {
+
+  private AtomicLong now = new AtomicLong();
+  private RevisionLag lag = create();
+
+  @BeforeMethod
+  void reset() {
+    now = new AtomicLong(TimeUnit.SECONDS.toNanos(9));
+    lag = create();
+  }
+
+  @Test
+  public void aChangeThatIsKnownHereIsNotAskedFor() {
+    assertFalse(lag.heard(7, 7));
+    pass(600);
+    assertFalse(lag.heard(7, 7));
+  }
+
+  @Test
+  public void aChangeThatDoesNotArriveIsAskedForAfterTheTimeAllowed() {
+    assertFalse(lag.heard(8, 7));
+    pass(400);
+    assertFalse(lag.heard(8, 7));
+    pass(200);
+    assertTrue(lag.heard(8, 7));
+    assertFalse(lag.heard(8, 7));
+    pass(600);
+    assertTrue(lag.heard(8, 7));
+  }
+
+  @Test
+  public void aStreamOfChangesThatArriveInTimeIsNeverAskedFor() {
+    for (long revision = 1; revision < 50; revision++) {
+      assertFalse(lag.heard(revision + 1, revision));
+      pass(100);
+      assertFalse(lag.heard(revision + 1, revision + 1));
+    }
+  }
+
+  @Test
+  public void aRouterThatLagsItselfDoesNotHideWhatAnotherHasSeen() {
+    assertFalse(lag.heard(8, 7));
+    pass(300);
+    assertFalse(lag.heard(7, 7));
+    pass(300);
+    assertTrue(lag.heard(9, 7));
+  }
+
+  private void pass(long millis) {
+    now.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
+  }
+
+  private RevisionLag create() {
+    return new RevisionLag(Duration.ofMillis(500), () -> now.get());
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -158,7 +158,8 @@
             replicas,
             List.of(desiredState, replicaEntries, routerEntries),
             random::nextDouble,
-            InstantSource.system());
+            InstantSource.system(),
+            nanoTime);
     pauseWatch = new PauseWatch(nanoTime, System::currentTimeMillis);
     smallListeners =
         smallListeners(new EntryPoints(registry, placements::heardIds, this::ready), formats);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
 import org.coltsfootvale.core.dispatch.PromptLocations;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
@@ -24,6 +25,7 @@
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.store.PrefixFollower;
+import org.coltsfootvale.core.store.RevisionLag;
 import org.coltsfootvale.core.store.StoreEntry;
 import org.coltsfootvale.core.support.Service;
 import org.coltsfootvale.protocol.ForwardResponder;
@@ -55,6 +57,12 @@
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+  /**
+   * How long a change may arrive here after another router has it: longer than changes of
+   * advertisements gather at the store, and short beside the bounds for the desired state.
+   */
+  private static final Duration LAG_ALLOWED = Duration.ofMillis(500);
+
   private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(800);
 
   /** How long a departure is told again and again, so that a lost message does no harm. */
@@ -76,7 +84,8 @@
   private final PeerTransport transport;
   private final Map<String, Long> departures = new HashMap<>();
   private boolean placementsAsked;
-  private boolean asking;
+  private final List<RevisionLag> lags = new ArrayList<>();
+  private int asking;
 
   FleetExchange(
       EntrySettings settings,
@@ -88,13 +97,15 @@
       ReplicaTable replicas,
       List<PrefixFollower> followers,
       DoubleSupplier random,
-      InstantSource clock) {
+      InstantSource clock,
+      LongSupplier nanoTime) {
     this.registry = registry;
     this.state = state;
     this.locations = locations;
     this.placements = placements;
     this.replicas = replicas;
     this.followers = List.copyOf(followers);
+    followers.forEach(follower -> lags.add(new RevisionLag(LAG_ALLOWED, nanoTime)));
     this.seeds = settings.seeds();
     this.self = settings.peerAddress();
     this.random = random;
@@ -143,6 +154,7 @@
     for (PromptLocations.Placed placed : locations.drainNews()) {
       news.addParts(placed.part()).addPartReplicas(placed.cache());
     }
+    followers.forEach(follower -> news.addPrefixChanges(follower.latestChange()));
     return news.addAllLeaving(departures.keySet()).build();
   }
 
@@ -151,10 +163,9 @@
     Optional<PrefixFollower> behind =
         followers.stream().filter(follower -> !follower.current()).findAny();
     List<HostPort> peers = askable();
-    if (behind.isEmpty() || peers.isEmpty() || asking) {
+    if (behind.isEmpty() || peers.isEmpty() || asking > 0) {
       return;
     }
-    asking = true;
     HostPort peer = peers.get((int) (random.getAsDouble() * peers.size()));
     followers.stream()
         .filter(follower -> !follower.current())
@@ -175,12 +186,13 @@
         Envelope.newBuilder()
             .setPrefixRequest(PrefixRequest.newBuilder().setPrefix(follower.prefix()))
             .build();
+    asking++;
     var unused =
         transport
             .request(peer, question, REQUEST_TIMEOUT)
             .whenComplete(
                 (reply, failure) -> {
-                  asking = false;
+                  asking--;
                   if (failure != null) {
                     LOGGER.atFine().log(
                         "%s does not tell of %s: %s",
@@ -228,6 +240,20 @@
     placements.heard(from.id().value(), inFlight);
     takeParts(news);
     news.getLeavingList().forEach(replicas::leaves);
+    askWhatIsMissing(from.id().value(), news.getPrefixChangesList());
+  }
+
+  /** Asks a router for changes that it has seen and that do not arrive here. */
+  private void askWhatIsMissing(String routerId, List<Long> changes) {
+    for (int i = 0; i < Math.min(followers.size(), changes.size()); i++) {
+      PrefixFollower follower = followers.get(i);
+      if (lags.get(i).heard(changes.get(i), follower.knownRevision())) {
+        registry.peers().stream()
+            .filter(peer -> peer.id().equals(routerId))
+            .findFirst()
+            .ifPresent(peer -> ask(peer.peerAddress(), follower));
+      }
+    }
   }
 
   private void takeParts(ServingNews news) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreFollowers.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreFollowers.java
@@ -12,13 +12,11 @@
 final class StoreFollowers {
 
   /**
-   * The longest wait of one call for changes. The store allows 30 s, but a call that is silent must
-   * be noticed: bounds for the desired state and for departures are some seconds.
+   * The longest wait of one call for changes; calls are priced, and the store allows 30 s. A call
+   * that is lost without an error is noticed by the news of other routers, see {@link
+   * org.coltsfootvale.core.store.RevisionLag}.
    */
-  private static final Duration BELIEF_WAIT = Duration.ofSeconds(5);
-
-  /** The same for advertisements of routers, which the routers' own news complete. */
-  private static final Duration ADVERTISEMENT_WAIT = Duration.ofSeconds(15);
+  private static final Duration CHANGES_WAIT = Duration.ofSeconds(15);
 
   /** Routers come and go in groups, so that one call for changes brings several of them. */
   private static final Duration ADVERTISEMENT_SETTLE = Duration.ofMillis(250);
@@ -37,12 +35,12 @@
 
   /** Creates a follower whose changes are taken at once. */
   PrefixFollower follow(String prefix, PrefixFollower.Listener listener) {
-    return follow(prefix, listener, BELIEF_WAIT, Duration.ZERO);
+    return follow(prefix, listener, CHANGES_WAIT, Duration.ZERO);
   }
 
   /** Creates the follower of the routers' advertisements. */
   PrefixFollower advertisements(RouterRegistry registry) {
-    return follow(RouterRegistry.PREFIX, registry, ADVERTISEMENT_WAIT, ADVERTISEMENT_SETTLE);
+    return follow(RouterRegistry.PREFIX, registry, CHANGES_WAIT, ADVERTISEMENT_SETTLE);
   }
 
   private PrefixFollower follow(
