End a replica when another has taken its address; refuse at once what all have rejected

Change: an address belongs to the record that was born last; a 421 keeps further requests away like a failed connection; what every replica has rejected is refused at once.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -116,7 +116,7 @@
     Placement chosen = choose(work);
     if (chosen != null) {
       place(work, chosen);
-    } else if (nanoTime.getAsLong() >= waitEndNanos(work)) {
+    } else if (triedAll(work) || nanoTime.getAsLong() >= waitEndNanos(work)) {
       work.onTurnedAway(refusal(work));
     } else {
       enqueue(work);
@@ -230,9 +230,17 @@
     return Math.min(work.deadlineNanos(), work.arrivedNanos() + waitMaxNanos);
   }
 
+  private boolean triedAll(Work work) {
+    return !replicas.isEmpty() && replicas.values().stream().allMatch(work::avoids);
+  }
+
   private Refusal refusal(Work work) {
-    Refusal.Reason reason =
-        replicas.isEmpty() ? Refusal.Reason.NO_REPLICA : Refusal.Reason.NO_CAPACITY;
+    Refusal.Reason reason = Refusal.Reason.NO_CAPACITY;
+    if (replicas.isEmpty()) {
+      reason = Refusal.Reason.NO_REPLICA;
+    } else if (triedAll(work)) {
+      reason = Refusal.Reason.REJECTED;
+    }
     return new Refusal(reason, retryAfter());
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/ReplicaTable.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/ReplicaTable.java
@@ -53,13 +53,25 @@
       return;
     }
     known.filter(before -> !before.sameIncarnation(replica)).ifPresent(listener::onDeparture);
-    if (replica.leaving()) {
+    if (replica.leaving() || superseded(replica)) {
       listener.onDeparture(replica);
     } else {
+      table.all().stream()
+          .filter(other -> supersedes(replica, other))
+          .forEach(listener::onDeparture);
       listener.onReplica(replica);
     }
   }
 
+  private boolean superseded(Replica replica) {
+    return table.all().stream().anyMatch(other -> supersedes(other, replica));
+  }
+
+  /** An address belongs to the server that started last; entries of dead ones lapse later. */
+  private static boolean supersedes(Replica later, Replica earlier) {
+    return later.address().equals(earlier.address()) && later.bornMillis() > earlier.bornMillis();
+  }
+
   /** Takes another router's word that a replica has announced its departure. */
   public void leaves(String id) {
     table
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/ServiceDispatcherTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/ServiceDispatcherTest.java
@@ -104,6 +104,16 @@
     assertTrue(refusal.retryAfter().compareTo(Duration.ZERO) > 0);
   }
 
+  @Test
+  public void aRequestThatHasTriedAllReplicasIsTurnedAwayAtOnce() {
+    addReplicas(2);
+    Held tried = new Held(plain(1, 1_000));
+    tried.avoid("r0");
+    tried.avoid("r1");
+    dispatcher.submit(tried);
+    assertEquals(tried.refusal.orElseThrow().reason(), Refusal.Reason.REJECTED);
+  }
+
   @Test
   public void aRequestThatIsWithdrawnIsNeitherPlacedNorTurnedAway() {
     addReplicas(1);
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/replica/ReplicaTableTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/replica/ReplicaTableTest.java
@@ -93,6 +93,31 @@
     assertEquals(told, List.of("leave a", "leave a", "use a"));
   }
 
+  @Test
+  public void aReplicaThatTakesOverAnAddressEndsTheOneWhoseEntryHasNotLapsedYet() {
+    table.put(at("10.0.0.1", "dead", 1));
+    table.put(at("10.0.0.1", "new", 2));
+    table.put(at("10.0.0.1", "dead", 1));
+    assertEquals(told, List.of("use dead", "leave dead", "use new", "leave dead"));
+  }
+
+  @Test
+  public void aReadingThatNamesBothUsersOfAnAddressKeepsTheLaterOne() {
+    table.replaceAll(List.of(at("10.0.0.1", "new", 2), at("10.0.0.1", "dead", 1)));
+    assertEquals(told, List.of("use new", "leave dead"));
+  }
+
+  @Test
+  public void replicasOfDifferentAddressesLeaveEachOtherAlone() {
+    table.put(at("10.0.0.1", "a", 1));
+    table.put(at("10.0.0.2", "b", 2));
+    assertEquals(told, List.of("use a", "use b"));
+  }
+
+  private static Replica at(String host, String id, long bornMillis) {
+    return new Replica(id, bornMillis, "service", new HostPort(host, 80), "dc", 4, false);
+  }
+
   private void after(long millis) {
     now.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
     table.expire();
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -80,13 +80,7 @@
         opened.cancel();
       }
     } else if (opened == null) {
-      Duration pause = replica.health().unreached();
-      with.log()
-          .record(
-              Decision.of(DecisionEvent.REPLICA_SUSPENDED, exchange.description().requestId())
-                  .with("replica", replicaId())
-                  .with("pause_millis", pause.toMillis())
-                  .with("cause", String.valueOf(failure)));
+      suspend(String.valueOf(failure));
       exchange.avoid(replicaId());
       notReached("no connection");
     } else {
@@ -137,6 +131,16 @@
     return replica.replica().id();
   }
 
+  private void suspend(String cause) {
+    Duration pause = replica.health().unreached();
+    with.log()
+        .record(
+            Decision.of(DecisionEvent.REPLICA_SUSPENDED, exchange.description().requestId())
+                .with("replica", replicaId())
+                .with("pause_millis", pause.toMillis())
+                .with("cause", cause));
+  }
+
   private void notReached(String cause) {
     exchange.follow(course.onNotReached(), HttpResponseStatus.BAD_GATEWAY, cause);
   }
@@ -244,6 +248,9 @@
       return;
     }
     if (traits.notRun()) {
+      if (response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+        suspend("another replica answers at its address");
+      }
       exchange.avoid(replicaId());
       finishAndFollow(course.onRejected(), "rejected with status " + response.status().code());
     } else if (!isSuccess(response)) {
