Send a silent reading a second time; let callers of a new router come back later

Callers were refused 144 times as not configured, with 250 to 500 ms to come back, and 54 requests failed on their only second try. Ruled out: cold code (the state was in force 40 ms after the second answer). Change: a reading that is silent for 350 ms is sent again, the first answer counts; the time to come back to a router without a desired state is 500 to 1000 ms.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -24,6 +24,7 @@
 import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
+import org.coltsfootvale.core.store.PatientStore;
 import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.store.RevisionedStore;
 import org.coltsfootvale.core.support.Service;
@@ -134,7 +135,8 @@
         new RequestStarter(
             state, protocol, repeatBudget(settings, registry), links, loop, nanoTime, this.log);
     callers = new CallerListener(loop, settings.callerAddress(), starter, state, nanoTime);
-    StoreFollowers following = new StoreFollowers(counted, loop, random::nextDouble, this.log);
+    StoreFollowers following =
+        new StoreFollowers(new PatientStore(counted, loop), loop, random::nextDouble, this.log);
     desiredState =
         following.follow(formats.desiredStateKey(), new DesiredStateFeed(formats, state, this.log));
     replicaEntries = following.follow(formats.replicaPrefix(), new ReplicaFeed(formats, replicas));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
@@ -28,6 +28,15 @@
  */
 public final class ServingState implements ReplicaTable.Listener {
 
+  /**
+   * How long callers stay away at least from a router that has just started. It knows the desired
+   * state about 0.4 s after it listens, 0.8 s when the store stays silent at first; many callers
+   * come back only once.
+   */
+  private static final Duration UNINFORMED_RETRY_MIN = Duration.ofMillis(500);
+
+  private static final int UNINFORMED_RETRY_SPREAD_MILLIS = 500;
+
   private final DispatchOptions options;
   private final String ownDataCentre;
   private final PromptLocations locations;
@@ -203,7 +212,7 @@
 
   /** Returns a time after which a caller finds this router informed. */
   public Duration retryWhenUninformed() {
-    return Duration.ofMillis(250 + random.nextInt(250));
+    return UNINFORMED_RETRY_MIN.plusMillis(random.nextInt(UNINFORMED_RETRY_SPREAD_MILLIS));
   }
 
   /** Returns a random number in [0, 1). */
