Let the wait for the desired state tell whether the store answers; gather changes of entries

Change: the wait for the desired state is 5 s again and tells the other calls when the store is back, which are then replaced; entries of replicas gather 250 ms like those of routers.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -106,6 +106,18 @@
     readPage(generation, "", new ArrayList<>(), Long.MAX_VALUE);
   }
 
+  /**
+   * Takes note that a call elsewhere has found the store back after an outage: the call under way
+   * may have been lost in it without an error, and is replaced.
+   */
+  public void storeReturned() {
+    if (running && current()) {
+      listener.onStoreReturned();
+      generation++;
+      awaitChanges(generation, knownRevision);
+    }
+  }
+
   /** Returns whether a whole reading was ever taken. */
   public boolean everRead() {
     return everRead;
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
@@ -128,6 +128,24 @@
     assertEquals(told, List.of("reading", "reading p/a@14", "change p/b@16"));
   }
 
+  @Test
+  public void aCallThatMayBeLostInAnOutageIsReplacedWhenTheStoreIsBack() {
+    readEmpty();
+    follower.storeReturned();
+    assertEquals(store.lastCall(), "changes of p/ after 10");
+    assertEquals(store.calls.size(), 3);
+    assertEquals(told, List.of("reading", "returned"));
+  }
+
+  @Test
+  public void aFollowerThatHasNoticedTheOutageItselfIsLeftAlone() {
+    readEmpty();
+    store.fail(StoreException.Fault.NO_ANSWER);
+    follower.storeReturned();
+    assertEquals(store.calls.size(), 2);
+    assertEquals(told, List.of("reading"));
+  }
+
   private void readEmpty() {
     store.answer(new StorePage(List.of(), true, 10));
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/DesiredStateFeed.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/DesiredStateFeed.java
@@ -13,11 +13,14 @@
   private final EntryFormats formats;
   private final ServingState state;
   private final DecisionLog log;
+  private final Runnable onStoreReturned;
 
-  DesiredStateFeed(EntryFormats formats, ServingState state, DecisionLog log) {
+  DesiredStateFeed(
+      EntryFormats formats, ServingState state, DecisionLog log, Runnable onStoreReturned) {
     this.formats = formats;
     this.state = state;
     this.log = log;
+    this.onStoreReturned = onStoreReturned;
   }
 
   @Override
@@ -46,5 +49,7 @@
   }
 
   @Override
-  public void onStoreReturned() {}
+  public void onStoreReturned() {
+    onStoreReturned.run();
+  }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -138,9 +138,11 @@
     StoreFollowers following =
         new StoreFollowers(new PatientStore(counted, loop), loop, random::nextDouble, this.log);
     desiredState =
-        following.follow(formats.desiredStateKey(), new DesiredStateFeed(formats, state, this.log));
-    replicaEntries = following.follow(formats.replicaPrefix(), new ReplicaFeed(formats, replicas));
-    routerEntries = following.advertisements(registry);
+        following.desiredState(
+            formats.desiredStateKey(),
+            new DesiredStateFeed(formats, state, this.log, this::onStoreReturned));
+    replicaEntries = following.entries(formats.replicaPrefix(), new ReplicaFeed(formats, replicas));
+    routerEntries = following.entries(RouterRegistry.PREFIX, registry);
     advertisement =
         new LeaseKeeper(
             counted,
@@ -168,6 +170,11 @@
     observation = observation(new MetricsPage(metrics, counted));
   }
 
+  private void onStoreReturned() {
+    replicaEntries.storeReturned();
+    routerEntries.storeReturned();
+  }
+
   private static RouterAdvertisement advertisementOf(EntrySettings settings) {
     return new RouterAdvertisement(
         settings.id(), settings.dataCentre(), settings.callerAddress(), settings.peerAddress());
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreFollowers.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreFollowers.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.function.DoubleSupplier;
 import org.coltsfootvale.core.decision.DecisionLog;
-import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.store.RevisionedStore;
 import org.coltsfootvale.router.http.ServingLoop;
@@ -12,14 +11,19 @@
 final class StoreFollowers {
 
   /**
-   * The longest wait of one call for changes; calls are priced, and the store allows 30 s. A call
-   * that is lost without an error is noticed by the news of other routers, see {@link
-   * org.coltsfootvale.core.store.RevisionLag}.
+   * The longest wait of a call for changes of the desired state. It is short, as this call also
+   * tells whether the store still answers: one that is lost without an error is noticed by its end.
    */
+  private static final Duration PROBING_WAIT = Duration.ofSeconds(5);
+
+  /** The longest wait of the other calls: calls are priced, and the store allows 30 s. */
   private static final Duration CHANGES_WAIT = Duration.ofSeconds(15);
 
-  /** Routers come and go in groups, so that one call for changes brings several of them. */
-  private static final Duration ADVERTISEMENT_SETTLE = Duration.ofMillis(250);
+  /**
+   * Replicas and routers come and go in groups, so that one call brings several changes; short
+   * beside the two seconds within which a departure has to take effect.
+   */
+  private static final Duration SETTLE = Duration.ofMillis(250);
 
   private final RevisionedStore store;
   private final ServingLoop loop;
@@ -33,14 +37,14 @@
     this.log = log;
   }
 
-  /** Creates a follower whose changes are taken at once. */
-  PrefixFollower follow(String prefix, PrefixFollower.Listener listener) {
-    return follow(prefix, listener, CHANGES_WAIT, Duration.ZERO);
+  /** Creates the follower of the desired state, whose changes are taken at once. */
+  PrefixFollower desiredState(String key, PrefixFollower.Listener listener) {
+    return follow(key, listener, PROBING_WAIT, Duration.ZERO);
   }
 
-  /** Creates the follower of the routers' advertisements. */
-  PrefixFollower advertisements(RouterRegistry registry) {
-    return follow(RouterRegistry.PREFIX, registry, CHANGES_WAIT, ADVERTISEMENT_SETTLE);
+  /** Creates a follower of entries that come and go in groups. */
+  PrefixFollower entries(String prefix, PrefixFollower.Listener listener) {
+    return follow(prefix, listener, CHANGES_WAIT, SETTLE);
   }
 
   private PrefixFollower follow(
