--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/logging/StructuredLog.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/logging/StructuredLog.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.BufferedOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
@@ -66,6 +68,12 @@
     writer.setDaemon(true);
   }
 
+  /** Returns a log, not started yet, that writes to the standard output of this process. */
+  public static StructuredLog onStandardOutput(String router) {
+    OutputStream out = new FileOutputStream(FileDescriptor.out);
+    return new StructuredLog(router, out, InstantSource.system(), System::nanoTime);
+  }
+
   @Override
   public void start() {
     running = true;
