Keep entries for a while that a lagging router finds missing in what another tells

Cause, by reading: after an outage that swallowed calls, a router that learns from another one would drop entries that had lapsed meanwhile at once, as its own calls had not failed.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -213,8 +213,13 @@
     if (revision <= knownRevision) {
       return;
     }
+    boolean lagging = current();
+    if (lagging) {
+      // The store was out of reach without a failure, so that entries may have lapsed meanwhile.
+      listener.onStoreReturned();
+    }
     take(entries, revision);
-    if (current()) {
+    if (lagging) {
       // The call under way may be lost, and what it tells is older than what is known now.
       generation++;
       awaitChanges(generation, revision);
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
@@ -123,9 +123,9 @@
     assertEquals(store.lastCall(), "changes of p/ after 15");
     assertEquals(follower.latestChange(), 14);
     store.answer(new StoreChanges(List.of(entry("p/late", 12)), 13));
-    assertEquals(told, List.of("reading", "reading p/a@14"));
+    assertEquals(told, List.of("reading", "returned", "reading p/a@14"));
     store.answer(new StoreChanges(List.of(entry("p/b", 16)), 17));
-    assertEquals(told, List.of("reading", "reading p/a@14", "change p/b@16"));
+    assertEquals(told, List.of("reading", "returned", "reading p/a@14", "change p/b@16"));
   }
 
   @Test
