Pace of news and of silence by fleet size; split the inspection of caches off; drop dead code

Cause, by reading: with 300 routers the pause between news is 0.9 s, and one lost message would have taken a live router out of the answers to callers (silence of 1.5 s); with 1,000 all would have been taken for gone. Change: silence counts from four missed news on, 1.5 s at least; tests for fleets of 1 to 1,000. For six routers nothing changes. The inspection of caches is a class of its own.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestDescription.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestDescription.java
@@ -31,17 +31,6 @@
     prompt = List.copyOf(prompt);
   }
 
-  /**
-   * Returns the identity of the longest part of the prompt that other requests share, or an empty
-   * text if the request has no prompt.
-   */
-  public String sharedPart() {
-    if (prompt.isEmpty()) {
-      return "";
-    }
-    return prompt.get(Math.max(0, prompt.size() - 2)).id();
-  }
-
   /** Returns the tokens of the parts that other requests share. */
   public int sharedTokens() {
     int total = 0;
@@ -50,9 +39,4 @@
     }
     return total;
   }
-
-  /** Returns the tokens of the last part, which no other request shares. */
-  public int ownTokens() {
-    return prompt.isEmpty() ? promptTokens : prompt.get(prompt.size() - 1).tokens();
-  }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * The requests that the other routers have at each replica, by their latest news. Replicas are
@@ -12,7 +13,7 @@
  */
 public final class PeerPlacements {
 
-  private final long lifeNanos;
+  private final Supplier<Duration> life;
   private final LongSupplier nanoTime;
   private final Map<String, Heard> heardByPeer = new HashMap<>();
   private final Map<Long, Integer> totals = new HashMap<>();
@@ -20,11 +21,11 @@
   /**
    * Creates empty knowledge.
    *
-   * @param life how long a router's news are used
+   * @param life how long a router's news are used at present
    * @param nanoTime the monotonic clock in nanoseconds
    */
-  public PeerPlacements(Duration life, LongSupplier nanoTime) {
-    this.lifeNanos = life.toNanos();
+  public PeerPlacements(Supplier<Duration> life, LongSupplier nanoTime) {
+    this.life = life;
     this.nanoTime = nanoTime;
   }
 
@@ -46,6 +47,7 @@
   /** Forgets routers that have been silent for too long. */
   public void expire() {
     long now = nanoTime.getAsLong();
+    long lifeNanos = life.get().toNanos();
     boolean removed = heardByPeer.values().removeIf(heard -> now - heard.atNanos() > lifeNanos);
     if (removed) {
       totals.clear();
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Refusal.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Refusal.java
@@ -19,10 +19,6 @@
     /** This router has not read the desired state yet. */
     NOT_CONFIGURED,
     /** Replicas have refused the request as often as it may be sent. */
-    REJECTED,
-    /** The caller's time is over. */
-    TOO_LATE,
-    /** This router holds as many bytes of requests as it may. */
-    MEMORY
+    REJECTED
   }
 }
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/NewsPace.java
@@ -0,0 +1,37 @@
+package org.coltsfootvale.core.registry;
+
+import java.time.Duration;
+
+/** How often routers tell each other their news, and when one that tells nothing counts as gone. */
+public final class NewsPace {
+
+  /** The pause between news for each router that gets them: bounds what a large fleet spends. */
+  private static final Duration PAUSE_A_ROUTER = Duration.ofMillis(3);
+
+  /** The shortest pause: loads change within some ten milliseconds. */
+  private static final Duration PAUSE_MIN = Duration.ofMillis(50);
+
+  /** The news that may be missed in a row; a single one may be lost or late. */
+  private static final int MISSED_MAX = 4;
+
+  /**
+   * The shortest silence that means anything: collections of garbage and starts take part of it.
+   */
+  private static final Duration LIFE_MIN = Duration.ofMillis(1_500);
+
+  private NewsPace() {}
+
+  /** Returns the pause between two news to all other routers. */
+  public static Duration pause(int routers) {
+    return longer(PAUSE_MIN, PAUSE_A_ROUTER.multipliedBy(routers));
+  }
+
+  /** Returns how long a router's latest news count. */
+  public static Duration life(int routers) {
+    return longer(LIFE_MIN, pause(routers).multipliedBy(MISSED_MAX));
+  }
+
+  private static Duration longer(Duration one, Duration other) {
+    return one.compareTo(other) > 0 ? one : other;
+  }
+}
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
@@ -20,10 +20,10 @@
   public static final String PREFIX = "coltsfootvale/routers/";
 
   /**
-   * How long a router counts as live that was just advertised and is not heard yet: a connection
-   * between two routers that are both starting takes about a second.
+   * How long a router counts as live at least that was just advertised and is not heard yet: a
+   * connection between two routers that are both starting takes about a second.
    */
-  private static final Duration FIRST_NEWS_MAX = Duration.ofSeconds(2);
+  private static final Duration FIRST_NEWS_MIN = Duration.ofSeconds(2);
 
   private final RouterAdvertisement self;
   private final LongSupplier nanoTime;
@@ -106,13 +106,14 @@
       return all;
     }
     long now = nanoTime.getAsLong();
+    Duration life = NewsPace.life(all.size());
+    long firstNewsNanos = (life.compareTo(FIRST_NEWS_MIN) > 0 ? life : FIRST_NEWS_MIN).toNanos();
     return all.stream()
         .filter(
             router ->
                 isSelf(router)
                     || heardIds.contains(router.id())
-                    || now - advertisedNanosById.getOrDefault(router.id(), now)
-                        < FIRST_NEWS_MAX.toNanos())
+                    || now - advertisedNanosById.getOrDefault(router.id(), now) < firstNewsNanos)
         .toList();
   }
 
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
@@ -91,7 +91,7 @@
   }
 
   PeerPlacements peers() {
-    return new PeerPlacements(Duration.ofSeconds(2), () -> now.get());
+    return new PeerPlacements(() -> Duration.ofSeconds(2), () -> now.get());
   }
 
   static Replica replica(int index) {
--- /dev/null
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/NewsPaceTest.java
@@ -0,0 +1,33 @@
+package org.coltsfootvale.core.registry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class NewsPaceTest {
+
+  @DataProvider
+  Object[][] fleets() {
+    return new Object[][] {{1}, {6}, {84}, {300}, {1_000}};
+  }
+
+  @Test(dataProvider = "fleets")
+  public void aRouterThatTellsItsNewsIsNeverTakenForGone(int routers) {
+    Duration threePauses = NewsPace.pause(routers).multipliedBy(3);
+    assertTrue(NewsPace.life(routers).compareTo(threePauses) > 0);
+  }
+
+  @Test(dataProvider = "fleets")
+  public void noRouterSendsMoreThanSomeHundredMessagesASecond(int routers) {
+    double perSecond = routers * 1_000.0 / NewsPace.pause(routers).toMillis();
+    assertTrue(perSecond <= 334, perSecond + " messages a second");
+  }
+
+  @Test
+  public void aDeadRouterOfASmallFleetIsNoticedInAboutASecond() {
+    assertEquals(NewsPace.life(6), Duration.ofMillis(1_500));
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/metrics/DecisionMetrics.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/metrics/DecisionMetrics.java
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tags;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -59,11 +60,9 @@
 
   private static String outcome(Decision decision) {
     Object reason = decision.fields().get("reason");
-    String event = decision.event().name().toLowerCase(java.util.Locale.ROOT);
+    String event = decision.event().name().toLowerCase(Locale.ROOT);
     String outcome = event.substring("request_".length());
-    return reason == null
-        ? outcome
-        : outcome + "_" + reason.toString().toLowerCase(java.util.Locale.ROOT);
+    return reason == null ? outcome : outcome + "_" + reason.toString().toLowerCase(Locale.ROOT);
   }
 
   private String bounded(String service) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/metrics/StoreMetrics.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/metrics/StoreMetrics.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -12,6 +13,7 @@
 import org.coltsfootvale.core.store.StoreChanges;
 import org.coltsfootvale.core.store.StoreException;
 import org.coltsfootvale.core.store.StorePage;
+import org.jspecify.annotations.Nullable;
 
 /** Counts the calls to a store by kind and result. Thread-safe. */
 public final class StoreMetrics implements RevisionedStore {
@@ -63,12 +65,12 @@
                 .increment());
   }
 
-  private static String result(@org.jspecify.annotations.Nullable Throwable failure) {
+  private static String result(@Nullable Throwable failure) {
     if (failure == null) {
       return "ok";
     }
     return Failures.unwrap(failure) instanceof StoreException known
-        ? known.fault().name().toLowerCase(java.util.Locale.ROOT)
+        ? known.fault().name().toLowerCase(Locale.ROOT)
         : "error";
   }
 
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CacheInspection.java
@@ -0,0 +1,76 @@
+package org.coltsfootvale.router.serving;
+
+import java.util.List;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
+import org.coltsfootvale.core.dispatch.CacheCensus;
+import org.coltsfootvale.core.dispatch.PeerPlacements;
+import org.coltsfootvale.core.dispatch.PromptLocations;
+import org.coltsfootvale.core.error.Failures;
+import org.coltsfootvale.core.registry.RouterAdvertisement;
+import org.coltsfootvale.core.registry.RouterRegistry;
+import org.coltsfootvale.core.replica.Replica;
+
+/** Asks the replicas that the census names for what their caches hold. Confined to the loop. */
+final class CacheInspection {
+
+  private final String routerId;
+  private final CacheCensus census;
+  private final RouterRegistry registry;
+  private final PeerPlacements placements;
+  private final ServingState state;
+  private final PromptLocations locations;
+  private final CacheInspector inspector;
+  private final DecisionLog log;
+
+  CacheInspection(
+      String routerId,
+      CacheCensus census,
+      RouterRegistry registry,
+      PeerPlacements placements,
+      ServingState state,
+      PromptLocations locations,
+      CacheInspector inspector,
+      DecisionLog log) {
+    this.routerId = routerId;
+    this.census = census;
+    this.registry = registry;
+    this.placements = placements;
+    this.state = state;
+    this.locations = locations;
+    this.inspector = inspector;
+    this.log = log;
+  }
+
+  /** Returns whether all is known of caches that will be known shortly. */
+  boolean known() {
+    return census.finished();
+  }
+
+  /** Asks what is due. */
+  void inspect() {
+    List<String> advertised = registry.routers().stream().map(RouterAdvertisement::id).toList();
+    List<Replica> due = census.due(routerId, advertised, placements.heardIds(), state.engines());
+    due.forEach(this::ask);
+  }
+
+  private void ask(Replica engine) {
+    var unused =
+        inspector
+            .heldParts(engine.address())
+            .whenComplete(
+                (parts, failure) -> {
+                  census.answered();
+                  Decision decision =
+                      Decision.of(DecisionEvent.CACHE_LISTED).with("replica", engine.id());
+                  if (failure == null) {
+                    locations.listed(engine, parts);
+                    decision.with("parts", parts.size());
+                  } else {
+                    decision.with("failure", String.valueOf(Failures.unwrap(failure).getMessage()));
+                  }
+                  log.record(decision);
+                });
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -18,8 +18,8 @@
 import org.coltsfootvale.core.dispatch.DispatchOptions;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
 import org.coltsfootvale.core.dispatch.PromptLocations;
-import org.coltsfootvale.core.error.Failures;
 import org.coltsfootvale.core.registry.LeaseKeeper;
+import org.coltsfootvale.core.registry.NewsPace;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.replica.Replica;
@@ -53,15 +53,6 @@
   /** How long after its last use a part of a prompt is taken to be in a replica's cache. */
   private static final Duration CACHE_LIFE = Duration.ofSeconds(60);
 
-  /** How long another router's counts are used: several times the longest pause between news. */
-  private static final Duration PEER_LIFE = Duration.ofMillis(1_500);
-
-  /**
-   * The pause between news to other routers, for each of them: bounds what a large fleet spends.
-   */
-  private static final Duration NEWS_PAUSE_A_ROUTER = Duration.ofMillis(3);
-
-  private static final Duration NEWS_PAUSE_MIN = Duration.ofMillis(50);
   private static final Duration ASK_PAUSE = Duration.ofMillis(250);
   private static final Duration TICK = Duration.ofMillis(20);
   private static final Duration SWEEP = Duration.ofMillis(250);
@@ -76,9 +67,8 @@
   private final LongSupplier nanoTime = System::nanoTime;
   private final ServingState state;
   private final PromptLocations locations;
-  private final CacheCensus census;
+  private final CacheInspection caches;
   private final PeerPlacements placements;
-  private final CacheInspector inspector;
   private final ReplicaTable replicas;
   private final RouterRegistry registry;
   private final ReplicaLinks links;
@@ -120,14 +110,13 @@
     this.log = metrics.andThen(log);
     StoreMetrics counted = new StoreMetrics(store);
     this.loop = loop;
-    this.inspector = inspector;
     // Constructed directly: the factory of random sources costs a tenth of a start.
     UniformRandomProvider random = new SplitMix64(System.nanoTime());
     RouterAdvertisement self = advertisementOf(settings);
     registry = new RouterRegistry(self, LAPSE_GRACE, nanoTime);
     locations = new PromptLocations(CACHE_LIFE, nanoTime);
-    census = new CacheCensus(settings.firstStart(), locations, nanoTime);
-    placements = new PeerPlacements(PEER_LIFE, nanoTime);
+    CacheCensus census = new CacheCensus(settings.firstStart(), locations, nanoTime);
+    placements = new PeerPlacements(() -> NewsPace.life(registry.size()), nanoTime);
     state = servingState(random);
     replicas = new ReplicaTable(LAPSE_GRACE, nanoTime, new ReplicaListener());
     links = new ReplicaLinks(loop, nanoTime);
@@ -164,6 +153,9 @@
             random::nextDouble,
             InstantSource.system(),
             nanoTime);
+    caches =
+        new CacheInspection(
+            settings.id(), census, registry, placements, state, locations, inspector, this.log);
     pauseWatch = new PauseWatch(nanoTime, System::currentTimeMillis);
     smallListeners =
         smallListeners(new EntryPoints(registry, placements::heardIds, this::ready), formats);
@@ -268,8 +260,7 @@
 
   private void tellPeers() {
     exchange.tell();
-    Duration pause = NEWS_PAUSE_A_ROUTER.multipliedBy(registry.size());
-    loop.schedule(pause.compareTo(NEWS_PAUSE_MIN) > 0 ? pause : NEWS_PAUSE_MIN, this::tellPeers);
+    loop.schedule(NewsPace.pause(registry.size()), this::tellPeers);
   }
 
   private void tick() {
@@ -282,7 +273,7 @@
     }
     if (informed()) {
       exchange.askPlacements();
-      inspectCaches();
+      caches.inspect();
     }
     if (ready() && !advertised) {
       advertised = true;
@@ -301,38 +292,13 @@
 
   /** Returns whether this router takes new callers. */
   private boolean ready() {
-    return !state.draining() && informed() && census.finished();
+    return !state.draining() && informed() && caches.known();
   }
 
   private boolean informed() {
     return state.routing().isPresent() && replicaEntries.everRead();
   }
 
-  private void inspectCaches() {
-    List<String> routerIds = registry.routers().stream().map(RouterAdvertisement::id).toList();
-    List<Replica> due =
-        census.due(settings.id(), routerIds, placements.heardIds(), state.engines());
-    for (Replica engine : due) {
-      var unused =
-          inspector
-              .heldParts(engine.address())
-              .whenComplete(
-                  (parts, failure) -> {
-                    census.answered();
-                    Decision decision =
-                        Decision.of(DecisionEvent.CACHE_LISTED).with("replica", engine.id());
-                    if (failure == null) {
-                      locations.listed(engine, parts);
-                      decision.with("parts", parts.size());
-                    } else {
-                      decision.with(
-                          "failure", String.valueOf(Failures.unwrap(failure).getMessage()));
-                    }
-                    log.record(decision);
-                  });
-    }
-  }
-
   /**
    * Stops gracefully: callers are sent elsewhere at once, those that hold an old answer are served
    * on until it has expired, and requests in progress are finished.
