Read after a failed wait, so that the store's return is noticed at once

The flaw is older; waits of 15 s instead of 5 s made it likelier. Ruled out: gathering of changes (the entry was dropped 2.2 s after the event, not 0.25). Change: after a failed wait the prefix is read, which ends as soon as the store is back; lapsed entries are kept 1.8 s, below the bound for departures.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -173,7 +173,7 @@
                     return;
                   }
                   if (failure != null) {
-                    changesFailed(started, revision, failure);
+                    changesFailed(started, failure);
                   } else {
                     succeeded();
                     changes.entries().forEach(this::changed);
@@ -261,14 +261,16 @@
     listener.onChange(entry);
   }
 
-  private void changesFailed(long started, long revision, Throwable failure) {
+  private void changesFailed(long started, Throwable failure) {
     if (Failures.unwrap(failure) instanceof StoreException known
         && known.fault() == StoreException.Fault.HISTORY_GONE) {
       LOGGER.atInfo().log("history of %s is gone; reading it anew", prefix);
       restart();
       return;
     }
-    failed(failure, () -> awaitChanges(started, revision));
+    // A reading ends as soon as the store is back; a call for changes would end with the next one,
+    // which would then be taken for what lapsed in the outage.
+    failed(failure, () -> readPage(started, "", new ArrayList<>(), Long.MAX_VALUE));
   }
 
   private void succeeded() {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -41,8 +41,11 @@
  */
 public final class EntryRouter implements Service {
 
-  /** Entries that lapsed during an outage of the store are back within about two seconds. */
-  private static final Duration LAPSE_GRACE = Duration.ofMillis(2_200);
+  /**
+   * Entries that lapsed during an outage of the store are back within about two seconds; it stays
+   * below the two seconds within which a departure has to take effect.
+   */
+  private static final Duration LAPSE_GRACE = Duration.ofMillis(1_800);
 
   /**
    * How long an advertisement outlives its router. Its renewals are priced calls; that a router has
