Estimate loads once a choice; do nothing each tick once the census is done

Found on reading the change: PromptChoice estimated every replica's load twice a request, LeastLoadChoice had the same estimate a second time, and its logged mean left replicas out that the field's description includes. Every 20 ms the router built a sorted list of routers, a copy of the peers and a list of engines for a census that had ended, and the census hashed every router's name for every engine while a router starts. Change: LoadEstimates serves both choices; RendezvousHashing.winner serves the census and the share coordinator, which had the same loop; lists are built only where they are used; a count that nothing read is gone. No choice changes; the logged mean of plain requests now counts all replicas, with a test.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/admission/DefaultShareCoordinator.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/admission/DefaultShareCoordinator.java
@@ -124,17 +124,9 @@
   private RouterIncarnation coordinatorOf(
       OrganisationId organisation, List<RouterIncarnation> routers) {
     long key = RendezvousHashing.hash(organisation.value());
-    RouterIncarnation best = self;
-    double bestScore = Double.NEGATIVE_INFINITY;
-    for (RouterIncarnation router : routers) {
-      long node = RendezvousHashing.hash(router.id().value());
-      double score = RendezvousHashing.score(key, node, 1);
-      if (score > bestScore) {
-        best = router;
-        bestScore = score;
-      }
-    }
-    return best;
+    return RendezvousHashing.winner(
+            key, routers, router -> RendezvousHashing.hash(router.id().value()))
+        .orElse(self);
   }
 
   /** Returns the live routers, this one among them even if the view does not know it yet. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.support.RendezvousHashing;
 
@@ -75,10 +76,14 @@
       return List.of();
     }
     List<Replica> unknown = unknown(engines);
-    Set<String> askers = askers(routerId, advertisedIds, heardIds, now - begunNanos);
+    long self = RendezvousHashing.hash(routerId);
+    Set<Long> askers = hashes(askers(routerId, advertisedIds, heardIds, now - begunNanos));
     List<Replica> due = new ArrayList<>();
     for (Replica engine : unknown) {
-      if (routerId.equals(firstRanked(engine, askers))) {
+      long engineHash = RendezvousHashing.hash(engine.id());
+      if (RendezvousHashing.winner(engineHash, askers, Long::longValue)
+          .filter(w -> w == self)
+          .isPresent()) {
         due.add(engine);
       }
     }
@@ -123,17 +128,7 @@
     return askers;
   }
 
-  private static String firstRanked(Replica engine, Collection<String> routerIds) {
-    long engineHash = RendezvousHashing.hash(engine.id());
-    String best = "";
-    double bestScore = Double.NEGATIVE_INFINITY;
-    for (String routerId : routerIds) {
-      double score = RendezvousHashing.score(engineHash, RendezvousHashing.hash(routerId), 1.0);
-      if (score > bestScore) {
-        best = routerId;
-        bestScore = score;
-      }
-    }
-    return best;
+  private static Set<Long> hashes(Set<String> routerIds) {
+    return routerIds.stream().map(RendezvousHashing::hash).collect(Collectors.toSet());
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.core.dispatch;
 
 import java.util.Collection;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -39,20 +40,16 @@
   @Override
   public @Nullable Placement choose(Work work, Collection<ReplicaState> replicas) {
     long now = nanoTime.getAsLong();
+    LoadEstimates loads = new LoadEstimates(replicas, peers, options, now);
     ReplicaState best = null;
     double bestCost = Double.POSITIVE_INFINITY;
     double bestLoad = 0;
-    double totalLoad = 0;
     int candidates = 0;
-    for (ReplicaState replica : replicas) {
-      if (work.avoids(replica) || replica.health().suspended()) {
-        continue;
-      }
+    for (Map.Entry<ReplicaState, Double> estimate : loads.byReplica().entrySet()) {
+      ReplicaState replica = estimate.getKey();
+      double load = estimate.getValue();
       int slots = Math.max(1, replica.replica().slots());
-      double load =
-          replica.load(peers.inFlightAt(replica.nameHash()), now, options.reportAgeMax().toNanos());
-      totalLoad += load;
-      if (load >= 2.0 * slots) {
+      if (work.avoids(replica) || replica.health().suspended() || load >= 2.0 * slots) {
         continue;
       }
       candidates++;
@@ -73,9 +70,8 @@
     if (best == null) {
       return null;
     }
-    double meanLoad = totalLoad / replicas.size();
     return new Placement(
-        best, Placement.Basis.LEAST_LOADED, bestLoad, meanLoad, candidates, Optional.empty());
+        best, Placement.Basis.LEAST_LOADED, bestLoad, loads.mean(), candidates, Optional.empty());
   }
 
   /** A replica that fails more often than it should costs as much as a full one. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
@@ -39,9 +39,10 @@
   @Override
   public @Nullable Placement choose(Work work, Collection<ReplicaState> replicas) {
     long now = nanoTime.getAsLong();
-    List<Candidate> open = candidates(work, replicas, now);
+    LoadEstimates loads = new LoadEstimates(replicas, peers, options, now);
+    List<Candidate> open = candidates(work, loads);
     List<Candidate> sound = open.stream().filter(candidate -> sound(candidate, now)).toList();
-    return choose(work, sound.isEmpty() ? open : sound, mean(replicas, now));
+    return choose(work, sound.isEmpty() ? open : sound, loads.mean());
   }
 
   private @Nullable Placement choose(Work work, List<Candidate> candidates, double meanLoad) {
@@ -90,19 +91,21 @@
         .orElse(null);
   }
 
-  private List<Candidate> candidates(Work work, Collection<ReplicaState> replicas, long now) {
+  private List<Candidate> candidates(Work work, LoadEstimates loads) {
     long partHash = work.sharedParts().get(0).hash();
     Set<Long> holders = locations.holders(partHash);
-    List<Candidate> candidates = new ArrayList<>(replicas.size());
-    for (ReplicaState replica : replicas) {
-      double load = load(replica, now);
-      boolean full = load >= replica.replica().slots();
-      if (!full && !work.avoids(replica) && !replica.health().suspended()) {
-        double rank = RendezvousHashing.score(partHash, replica.nameHash(), 1.0);
-        boolean holds = holders.contains(replica.cacheHash());
-        candidates.add(new Candidate(replica, load + readingLoad(replica), rank, holds));
-      }
-    }
+    List<Candidate> candidates = new ArrayList<>();
+    loads
+        .byReplica()
+        .forEach(
+            (replica, load) -> {
+              boolean full = load >= replica.replica().slots();
+              if (!full && !work.avoids(replica) && !replica.health().suspended()) {
+                double rank = RendezvousHashing.score(partHash, replica.nameHash(), 1.0);
+                boolean holds = holders.contains(replica.cacheHash());
+                candidates.add(new Candidate(replica, load + readingLoad(replica), rank, holds));
+              }
+            });
     return candidates;
   }
 
@@ -113,15 +116,6 @@
     return Math.max(0, delayNanos / options.startDelayMax().toNanos() - 1);
   }
 
-  private double mean(Collection<ReplicaState> replicas, long now) {
-    return replicas.stream().mapToDouble(replica -> load(replica, now)).average().orElse(0);
-  }
-
-  private double load(ReplicaState replica, long now) {
-    int ofPeers = peers.inFlightAt(replica.nameHash());
-    return replica.load(ofPeers, now, options.reportAgeMax().toNanos());
-  }
-
   private boolean sound(Candidate candidate, long now) {
     ReplicaState replica = candidate.replica();
     return replica.health().failureShare() <= options.failureShareMax()
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -13,7 +13,6 @@
   private final long cacheHash;
   private Replica replica;
   private int inFlight;
-  private int unstarted;
   private long unstartedTokens;
   private @Nullable LoadReport report;
   private long reportedNanos;
@@ -73,13 +72,11 @@
       occupiedNanos = nowNanos;
     }
     inFlight++;
-    unstarted++;
     unstartedTokens += work.description().promptTokens();
   }
 
   /** Takes note that the answer of a request has begun. */
   public void started(Work work) {
-    unstarted--;
     unstartedTokens -= work.description().promptTokens();
   }
 
@@ -111,11 +108,6 @@
     return unstartedTokens;
   }
 
-  /** Returns the requests of this router whose answers have not begun. */
-  int unstarted() {
-    return unstarted;
-  }
-
   /**
    * Estimates the requests of all routers at the replica.
    *
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
@@ -80,13 +80,13 @@
 
   /** Returns the number of advertised routers, this one included; at least 1. */
   public int size() {
-    return routers().size();
+    return routers.size() + (advertisedSelf() ? 0 : 1);
   }
 
   /** Returns the advertised routers, this one included. */
   public List<RouterAdvertisement> routers() {
     List<RouterAdvertisement> all = new ArrayList<>(routers.all());
-    if (all.stream().noneMatch(router -> router.id().equals(self.id()))) {
+    if (!advertisedSelf()) {
       all.add(self);
     }
     all.sort(Comparator.comparing(RouterAdvertisement::id));
@@ -117,6 +117,10 @@
         .toList();
   }
 
+  private boolean advertisedSelf() {
+    return routers.find(PREFIX + self.id()).isPresent();
+  }
+
   /** Returns whether an advertisement is this router's. */
   public boolean isSelf(RouterAdvertisement router) {
     return router.id().equals(self.id());
@@ -124,6 +128,6 @@
 
   /** Returns the other advertised routers. */
   public List<RouterAdvertisement> peers() {
-    return routers().stream().filter(router -> !router.id().equals(self.id())).toList();
+    return routers().stream().filter(router -> !isSelf(router)).toList();
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/LapsingTable.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/LapsingTable.java
@@ -93,6 +93,11 @@
     return Optional.ofNullable(values.get(key));
   }
 
+  /** Returns the number of entries, lapsed ones included. */
+  public int size() {
+    return values.size();
+  }
+
   /** Returns all entries, lapsed ones included. */
   public List<V> all() {
     return new ArrayList<>(values.values());
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/RendezvousHashing.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/RendezvousHashing.java
@@ -2,6 +2,9 @@
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
 
 /**
  * Weighted rendezvous hashing: each node gets a score for a key, and the highest score wins. Every
@@ -24,6 +27,28 @@
     return HASHER.hashLongLongToLong(first, second);
   }
 
+  /**
+   * Returns the node that wins a key among nodes of equal weight; the first one in their order if
+   * several have the same score, and empty without nodes.
+   *
+   * @param keyHash the hash of the key
+   * @param nodes the nodes
+   * @param nodeHash the hash of a node's name
+   */
+  public static <N> Optional<N> winner(
+      long keyHash, Collection<N> nodes, ToLongFunction<N> nodeHash) {
+    N best = null;
+    double bestScore = Double.NEGATIVE_INFINITY;
+    for (N node : nodes) {
+      double score = score(keyHash, nodeHash.applyAsLong(node), 1);
+      if (score > bestScore) {
+        best = node;
+        bestScore = score;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
   /**
    * Returns the score of a node for a key.
    *
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
@@ -157,6 +157,7 @@
 
     final Runnable onPlaced;
     @Nullable ReplicaState replica;
+    @Nullable Placement placement;
     Optional<HostPort> cacheSource = Optional.empty();
     Optional<Refusal> refusal = Optional.empty();
     int placements;
@@ -176,13 +177,18 @@
     }
 
     @Override
-    protected void onPlaced(Placement placement) {
-      replica = placement.replica();
-      cacheSource = placement.cacheSource();
+    protected void onPlaced(Placement chosen) {
+      placement = chosen;
+      replica = chosen.replica();
+      cacheSource = chosen.cacheSource();
       placements++;
       onPlaced.run();
     }
 
+    Placement placement() {
+      return Objects.requireNonNull(placement, "the request has not been placed");
+    }
+
     ReplicaState placed() {
       return Objects.requireNonNull(replica, "the request has not been placed");
     }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/ServiceDispatcherTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/ServiceDispatcherTest.java
@@ -104,6 +104,18 @@
     assertTrue(refusal.retryAfter().compareTo(Duration.ZERO) > 0);
   }
 
+  @Test
+  public void thePlacementTellsTheMeanLoadOfAllReplicasSuspendedOnesIncluded() {
+    addReplicas(2);
+    hold(plain(1, 1_000));
+    hold(plain(1, 1_000));
+    dispatcher.replicas().get(0).health().unreached();
+    Held third = new Held(plain(1, 1_000));
+    dispatcher.submit(third);
+    assertEquals(third.placement().meanLoad(), 1.0);
+    assertEquals(third.placement().candidates(), 1);
+  }
+
   @Test
   public void aRequestThatHasTriedAllReplicasIsTurnedAwayAtOnce() {
     addReplicas(2);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CacheInspection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CacheInspection.java
@@ -50,6 +50,9 @@
 
   /** Asks what is due. */
   void inspect() {
+    if (census.finished()) {
+      return;
+    }
     List<String> advertised = registry.routers().stream().map(RouterAdvertisement::id).toList();
     List<Replica> due = census.due(routerId, advertised, placements.heardIds(), state.engines());
     due.forEach(this::ask);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -160,16 +160,17 @@
 
   /** Asks another router for what the store does not tell. */
   void askIfUninformed() {
-    Optional<PrefixFollower> behind =
-        followers.stream().filter(follower -> !follower.current()).findAny();
+    List<PrefixFollower> behind =
+        followers.stream().filter(follower -> !follower.current()).toList();
+    if (behind.isEmpty() || asking > 0) {
+      return;
+    }
     List<HostPort> peers = askable();
-    if (behind.isEmpty() || peers.isEmpty() || asking > 0) {
+    if (peers.isEmpty()) {
       return;
     }
     HostPort peer = peers.get((int) (random.getAsDouble() * peers.size()));
-    followers.stream()
-        .filter(follower -> !follower.current())
-        .forEach(follower -> ask(peer, follower));
+    behind.forEach(follower -> ask(peer, follower));
   }
 
   private List<HostPort> askable() {
@@ -264,8 +265,11 @@
 
   /** Asks a few other routers, once after the start, where parts of prompts are. */
   void askPlacements() {
-    List<HostPort> peers = new ArrayList<>(askable());
-    if (placementsAsked || peers.isEmpty()) {
+    if (placementsAsked) {
+      return;
+    }
+    List<HostPort> peers = askable();
+    if (peers.isEmpty()) {
       return;
     }
     placementsAsked = true;
