One token bucket, one way to set up log handlers, one way to open a connection

Found on reading the change: LineRates had a third token bucket beside the one of the limits, which is now in core.support and serves both; StructuredLogHandler replaced the handlers of the process as LogSetup does; HttpCaller and ReplicaLinks set up an outgoing connection alike, which the serving loop does now. Behaviour is the same; lines are metered by milliseconds instead of nanoseconds.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/admission/OrganisationGate.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/admission/OrganisationGate.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.core.admission;
 
 import java.time.Duration;
+import org.coltsfootvale.core.support.TokenBucket;
 
 /** The buckets of one organisation at one router. Guarded by its own lock. */
 final class OrganisationGate {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/admission/SaturationGate.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/admission/SaturationGate.java
@@ -11,6 +11,7 @@
 import org.coltsfootvale.core.model.OrganisationId;
 import org.coltsfootvale.core.release.FleetState;
 import org.coltsfootvale.core.release.OrganisationSpec;
+import org.coltsfootvale.core.support.TokenBucket;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -76,14 +77,12 @@
       return List.of();
     }
     List<Replica> unknown = unknown(engines);
-    long self = RendezvousHashing.hash(routerId);
+    Optional<Long> self = Optional.of(RendezvousHashing.hash(routerId));
     Set<Long> askers = hashes(askers(routerId, advertisedIds, heardIds, now - begunNanos));
     List<Replica> due = new ArrayList<>();
     for (Replica engine : unknown) {
       long engineHash = RendezvousHashing.hash(engine.id());
-      if (RendezvousHashing.winner(engineHash, askers, Long::longValue)
-          .filter(w -> w == self)
-          .isPresent()) {
+      if (RendezvousHashing.winner(engineHash, askers, Long::longValue).equals(self)) {
         due.add(engine);
       }
     }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/admission/TokenBucket.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/TokenBucket.java
@@ -1,10 +1,10 @@
-package org.coltsfootvale.core.admission;
+package org.coltsfootvale.core.support;
 
 /**
  * A token bucket that may go into debt: what is larger than the bucket passes once it is not empty
  * and is paid for afterwards. Not thread-safe.
  */
-final class TokenBucket {
+public final class TokenBucket {
 
   private double level;
   private double max;
@@ -12,7 +12,7 @@
   private long updatedAtMillis;
 
   /** Creates a full bucket. */
-  TokenBucket(double ratePerSecond, double max, long nowMillis) {
+  public TokenBucket(double ratePerSecond, double max, long nowMillis) {
     this.ratePerSecond = ratePerSecond;
     this.max = max;
     this.level = max;
@@ -20,7 +20,7 @@
   }
 
   /** Fills the bucket up to the present and sets the rate from now on. */
-  void refill(double newRatePerSecond, double newMax, long nowMillis) {
+  public void refill(double newRatePerSecond, double newMax, long nowMillis) {
     double seconds = Math.max(0, nowMillis - updatedAtMillis) / 1000.0;
     level = Math.min(max, level + seconds * ratePerSecond);
     updatedAtMillis = Math.max(updatedAtMillis, nowMillis);
@@ -30,7 +30,7 @@
   }
 
   /** Returns the seconds until the level reaches what is needed, 0 if it does now. */
-  double secondsUntil(double needed) {
+  public double secondsUntil(double needed) {
     if (level >= needed) {
       return 0;
     }
@@ -38,7 +38,7 @@
   }
 
   /** Takes an amount, into debt if need be; a negative amount gives back. */
-  void take(double amount) {
+  public void take(double amount) {
     level = Math.min(max, level - amount);
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpCaller.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpCaller.java
@@ -1,15 +1,10 @@
 package org.coltsfootvale.router.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -20,7 +15,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -92,23 +86,15 @@
   }
 
   private void connect(FullHttpRequest request, CompletableFuture<HttpReply> reply) {
-    Bootstrap bootstrap =
-        KeepAliveProbes.on(new Bootstrap())
-            .group(loop.eventLoop())
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec());
-                    channel.pipeline().addLast(new HttpObjectAggregator(BODY_BYTES_MAX));
-                    channel.pipeline().addLast(new ReplyHandler());
-                  }
-                });
     ChannelFuture connecting =
-        bootstrap.connect(new InetSocketAddress(address.host(), address.port()));
+        loop.connect(
+            address,
+            CONNECT_TIMEOUT_MILLIS,
+            pipeline -> {
+              pipeline.addLast(new HttpClientCodec());
+              pipeline.addLast(new HttpObjectAggregator(BODY_BYTES_MAX));
+              pipeline.addLast(new ReplyHandler());
+            });
     var unused =
         connecting.addListener(
             done -> {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaLinks.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaLinks.java
@@ -1,13 +1,7 @@
 package org.coltsfootvale.router.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -78,28 +72,15 @@
             replica.health()::heard,
             idleLink -> keep(replica, idleLink),
             closed -> forget(replica, closed));
-    Bootstrap bootstrap =
-        KeepAliveProbes.on(new Bootstrap())
-            .group(loop.eventLoop())
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(
-                            new HttpClientCodec(
-                                HEAD_LINE_BYTES_MAX, HEAD_BYTES_MAX, CHUNK_BYTES_MAX));
-                    channel.pipeline().addLast(link);
-                  }
-                });
     ChannelFuture connecting =
-        bootstrap.connect(
-            new InetSocketAddress(
-                replica.replica().address().host(), replica.replica().address().port()));
+        loop.connect(
+            replica.replica().address(),
+            CONNECT_TIMEOUT_MILLIS,
+            pipeline -> {
+              pipeline.addLast(
+                  new HttpClientCodec(HEAD_LINE_BYTES_MAX, HEAD_BYTES_MAX, CHUNK_BYTES_MAX));
+              pipeline.addLast(link);
+            });
     var unused =
         connecting.addListener(
             done -> {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
@@ -1,13 +1,23 @@
 package org.coltsfootvale.router.http;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.store.Scheduler;
 import org.coltsfootvale.core.support.Service;
 
@@ -47,6 +57,29 @@
     return group;
   }
 
+  /**
+   * Opens a connection that this loop serves.
+   *
+   * @param address the other end
+   * @param timeoutMillis how long to wait for it
+   * @param setUp adds the handlers of the connection
+   */
+  ChannelFuture connect(HostPort address, int timeoutMillis, Consumer<ChannelPipeline> setUp) {
+    return KeepAliveProbes.on(new Bootstrap())
+        .group(eventLoop())
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                setUp.accept(channel.pipeline());
+              }
+            })
+        .connect(new InetSocketAddress(address.host(), address.port()));
+  }
+
   /** Runs a task on the thread of the loop. */
   public void execute(Runnable task) {
     eventLoop().execute(guarded(task));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/logging/LineRates.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/logging/LineRates.java
@@ -3,8 +3,10 @@
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.support.TokenBucket;
 
 /** Bounds the lines of each event by a token bucket and counts what is suppressed. Thread-safe. */
 final class LineRates {
@@ -15,14 +17,12 @@
   /** Changes come in bursts when a fleet starts; they are few otherwise. */
   private static final double BURST_LINES = 600;
 
-  private static final double NANOS_PER_SECOND = 1e9;
-
   private final LongSupplier nanoTime;
   private final Map<DecisionEvent, Bucket> buckets = new EnumMap<>(DecisionEvent.class);
 
   LineRates(LongSupplier nanoTime) {
     this.nanoTime = nanoTime;
-    long now = nanoTime.getAsLong();
+    long now = nowMillis();
     for (DecisionEvent event : DecisionEvent.values()) {
       buckets.put(event, new Bucket(now));
     }
@@ -31,7 +31,11 @@
   /** Returns whether a line of an event may be written now; counts it as suppressed if not. */
   boolean allows(DecisionEvent event) {
     Bucket bucket = buckets.get(event);
-    return bucket != null && bucket.take(nanoTime.getAsLong());
+    return bucket != null && bucket.take(nowMillis());
+  }
+
+  private long nowMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong());
   }
 
   /** Returns the lines that were suppressed since the last call, by event. */
@@ -47,25 +51,23 @@
     return counts;
   }
 
+  /** The bucket of one event. */
   private static final class Bucket {
 
-    private double tokens = BURST_LINES;
-    private long filledNanos;
+    private final TokenBucket lines;
     private long suppressed;
 
-    Bucket(long nowNanos) {
-      filledNanos = nowNanos;
+    Bucket(long nowMillis) {
+      lines = new TokenBucket(LINES_PER_SECOND, BURST_LINES, nowMillis);
     }
 
-    synchronized boolean take(long nowNanos) {
-      double seconds = (nowNanos - filledNanos) / NANOS_PER_SECOND;
-      tokens = Math.min(BURST_LINES, tokens + seconds * LINES_PER_SECOND);
-      filledNanos = nowNanos;
-      if (tokens < 1) {
+    synchronized boolean take(long nowMillis) {
+      lines.refill(LINES_PER_SECOND, BURST_LINES, nowMillis);
+      if (lines.secondsUntil(1) > 0) {
         suppressed++;
         return false;
       }
-      tokens--;
+      lines.take(1);
       return true;
     }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/logging/LogSetup.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/logging/LogSetup.java
@@ -19,15 +19,20 @@
   /** Applies the settings; libraries log warnings only. */
   public static void apply(RouterSettings settings) {
     Level level = Level.parse(settings.logging().level().toUpperCase(Locale.ROOT));
-    for (Handler handler : ROOT.getHandlers()) {
-      ROOT.removeHandler(handler);
-    }
     ConsoleHandler console = new ConsoleHandler();
     console.setFormatter(formatter(settings));
     console.setLevel(level);
-    ROOT.addHandler(console);
+    replaceHandlers(console, level);
+  }
+
+  /** Makes a handler the only one of the process; libraries log warnings only. */
+  static void replaceHandlers(Handler handler, Level productLevel) {
+    for (Handler before : ROOT.getHandlers()) {
+      ROOT.removeHandler(before);
+    }
+    ROOT.addHandler(handler);
     ROOT.setLevel(Level.WARNING);
-    PRODUCT.setLevel(level);
+    PRODUCT.setLevel(productLevel);
   }
 
   private static Formatter formatter(RouterSettings settings) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/logging/StructuredLogHandler.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/logging/StructuredLogHandler.java
@@ -6,7 +6,6 @@
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
-import java.util.logging.Logger;
 import java.util.logging.SimpleFormatter;
 
 /** Passes the lines of the logging library on to the structured log, so that all go one way. */
@@ -21,13 +20,7 @@
 
   /** Makes a log take all lines of the process; libraries log warnings only. */
   public static void install(StructuredLog log) {
-    Logger root = Logger.getLogger("");
-    for (Handler handler : root.getHandlers()) {
-      root.removeHandler(handler);
-    }
-    root.addHandler(new StructuredLogHandler(log));
-    root.setLevel(Level.WARNING);
-    Logger.getLogger("org.coltsfootvale").setLevel(Level.INFO);
+    LogSetup.replaceHandlers(new StructuredLogHandler(log), Level.INFO);
   }
 
   @Override
