One way to grow pauses; drop what nothing calls

Found on reading the change: the lease, the followers of the store and the health of replicas each doubled a pause up to a longest one; Backoff serves all three. Nothing called ReplicaLink.retire or StoreEntry.text. Pauses stay as they are.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaHealth.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaHealth.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.function.LongSupplier;
+import org.coltsfootvale.core.support.Backoff;
 
 /**
  * The health of one replica, judged by what this router's own requests meet. Confined to one
@@ -9,8 +10,8 @@
  */
 public final class ReplicaHealth {
 
-  private static final long BACKOFF_MIN_NANOS = 200_000_000L;
-  private static final long BACKOFF_MAX_NANOS = 3_200_000_000L;
+  private static final Backoff KEPT_AWAY =
+      new Backoff(Duration.ofMillis(200), Duration.ofMillis(3_200));
 
   /** The weight of the latest result in the running mean of failures. */
   private static final double LATEST_WEIGHT = 0.15;
@@ -39,11 +40,10 @@
    * returns how long new requests keep away.
    */
   public Duration unreached() {
-    long backoffNanos =
-        Math.min(BACKOFF_MAX_NANOS, BACKOFF_MIN_NANOS << Math.min(unreachedInRow, 10));
+    Duration pause = KEPT_AWAY.after(unreachedInRow);
     unreachedInRow++;
-    suspendedUntilNanos = nanoTime.getAsLong() + backoffNanos;
-    return Duration.ofNanos(backoffNanos);
+    suspendedUntilNanos = nanoTime.getAsLong() + pause.toNanos();
+    return pause;
   }
 
   /** Takes note that the replica has sent something. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/LeaseKeeper.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/LeaseKeeper.java
@@ -8,6 +8,7 @@
 import org.coltsfootvale.core.store.RevisionedStore;
 import org.coltsfootvale.core.store.Scheduler;
 import org.coltsfootvale.core.store.StoreException;
+import org.coltsfootvale.core.support.Backoff;
 import org.coltsfootvale.core.support.Service;
 
 /**
@@ -17,8 +18,8 @@
 public final class LeaseKeeper implements Service {
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-  private static final Duration PAUSE_MIN = Duration.ofMillis(200);
-  private static final Duration PAUSE_MAX = Duration.ofMillis(1_600);
+  private static final Backoff PAUSE =
+      new Backoff(Duration.ofMillis(200), Duration.ofMillis(1_600));
 
   private final RevisionedStore store;
   private final String key;
@@ -129,10 +130,9 @@
       LOGGER.atWarning().log(
           "the lease of %s is not renewed: %s", key, Failures.unwrap(failure).getMessage());
     }
-    Duration ceiling = PAUSE_MIN.multipliedBy(1L << Math.min(failuresInRow, 3));
+    Duration pause = PAUSE.after(failuresInRow);
     failuresInRow++;
-    Duration bounded = ceiling.compareTo(PAUSE_MAX) > 0 ? PAUSE_MAX : ceiling;
-    scheduler.schedule(spread(bounded), again);
+    scheduler.schedule(spread(pause), again);
   }
 
   private Duration period() {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -11,6 +11,7 @@
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.error.Failures;
+import org.coltsfootvale.core.support.Backoff;
 import org.coltsfootvale.core.support.Service;
 
 /**
@@ -23,8 +24,7 @@
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-  private static final Duration PAUSE_MIN = Duration.ofMillis(100);
-  private static final Duration PAUSE_MAX = Duration.ofMillis(800);
+  private static final Backoff PAUSE = new Backoff(Duration.ofMillis(100), Duration.ofMillis(800));
 
   /** Hears of readings and changes. */
   public interface Listener {
@@ -294,12 +294,9 @@
               .with("known_revision", knownRevision)
               .with("cause", String.valueOf(Failures.unwrap(failure).getMessage())));
     }
-    Duration ceiling = PAUSE_MIN.multipliedBy(1L << Math.min(failuresInRow, 6));
-    if (ceiling.compareTo(PAUSE_MAX) > 0) {
-      ceiling = PAUSE_MAX;
-    }
+    Duration longest = PAUSE.after(failuresInRow);
     failuresInRow++;
-    long pauseNanos = (long) (ceiling.toNanos() * (0.5 + 0.5 * random.getAsDouble()));
+    long pauseNanos = (long) (longest.toNanos() * (0.5 + 0.5 * random.getAsDouble()));
     scheduler.schedule(Duration.ofNanos(pauseNanos), again);
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/StoreEntry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/StoreEntry.java
@@ -1,6 +1,5 @@
 package org.coltsfootvale.core.store;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
@@ -11,10 +10,4 @@
  * @param revision the store's revision of that change
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record StoreEntry(String key, Optional<byte[]> value, long revision) {
-
-  /** Returns the value as UTF-8 text; empty if the key was deleted. */
-  public Optional<String> text() {
-    return value.map(bytes -> new String(bytes, StandardCharsets.UTF_8));
-  }
-}
+public record StoreEntry(String key, Optional<byte[]> value, long revision) {}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaLink.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaLink.java
@@ -89,11 +89,6 @@
     idleMax = announced.compareTo(IDLE_MARGIN) > 0 ? announced.minus(IDLE_MARGIN) : Duration.ZERO;
   }
 
-  /** Gives the connection up after the current answer. */
-  public void retire() {
-    reusable = false;
-  }
-
   /** Returns for how long the connection has been unused. */
   Duration idle() {
     return Duration.ofNanos(nanoTime.getAsLong() - idleSinceNanos);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -83,8 +83,8 @@
   private final InstantSource clock;
   private final PeerTransport transport;
   private final Map<String, Long> departures = new HashMap<>();
-  private boolean placementsAsked;
   private final List<RevisionLag> lags = new ArrayList<>();
+  private boolean placementsAsked;
   private int asking;
 
   FleetExchange(
