Cut answers without end off at a bound

Cause: a replica may send bytes that are no answer until its caller closes. Streams passed event by event were held without a bound while no event ended, interim answers and answers to other requests were read over for as long as they came, comments counted as signs of life, and the beginning of an answer on an idle connection stayed in the decoder and was taken for that of the next request. Ruled out: heads, status lines, headers, chunk sizes and trailers; the codec bounds these already.

Change: an event, with the comments before it, has at most 256 KiB; eight answers and 1 MiB are read over; bytes on an idle connection close it; comments alone are neither delivered nor counted as progress; all event streams are passed on by whole events; a request that runs out of time counts against its replica. A long line is no longer read again from its start with each chunk.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaLink.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaLink.java
@@ -26,6 +26,12 @@
   /** How long before the announced end a connection is given up: more than a packet's way. */
   private static final Duration IDLE_MARGIN = Duration.ofMillis(500);
 
+  /** The interim answers, and the late answers to other requests, that may precede an answer. */
+  private static final int SKIPPED_ANSWERS_MAX = 8;
+
+  /** The body bytes of such answers that are read over. */
+  private static final int SKIPPED_BYTES_MAX = 1024 * 1024;
+
   private final LongSupplier nanoTime;
   private final Consumer<ReplicaLink> onIdle;
   private final Consumer<ReplicaLink> onClosed;
@@ -34,6 +40,8 @@
   private @Nullable Channel channel;
   private @Nullable AnswerReceiver receiver;
   private boolean skipping;
+  private int skippedAnswers;
+  private int skippedBytes;
   private boolean reusable = true;
   private boolean ended;
   private boolean wasReset;
@@ -64,6 +72,8 @@
     receiver = answerReceiver;
     ended = false;
     skipping = false;
+    skippedAnswers = 0;
+    skippedBytes = 0;
     answerReceiver.onSending();
     open.writeAndFlush(request);
   }
@@ -94,6 +104,11 @@
     return Duration.ofNanos(nanoTime.getAsLong() - idleSinceNanos);
   }
 
+  /** Returns whether a request waits for its answer, so that bytes may arrive. */
+  boolean awaitsAnswer() {
+    return receiver != null;
+  }
+
   boolean expired() {
     return idle().compareTo(idleMax) >= 0;
   }
@@ -110,7 +125,6 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
-      onHeard.run();
       if (receiver == null || ended) {
         // Bytes without a request belong to nobody, and what follows them cannot be told apart.
         reusable = false;
@@ -128,6 +142,9 @@
       fail(context, object.decoderResult().cause());
       return;
     }
+    if (!skipping) {
+      onHeard.run();
+    }
     if (object instanceof HttpResponse head) {
       skipping = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       if (!skipping) {
@@ -135,11 +152,18 @@
         skipping = !answer.onHead(head);
         reusable &= !skipping;
       }
+      skippedAnswers += skipping ? 1 : 0;
     }
     if (object instanceof HttpContent content) {
-      if (!skipping && receiver == answer) {
+      if (skipping) {
+        skippedBytes += content.content().readableBytes();
+      } else if (receiver == answer) {
         answer.onContent(content.content());
       }
+      if (skippedAnswers > SKIPPED_ANSWERS_MAX || skippedBytes > SKIPPED_BYTES_MAX) {
+        fail(context, new IOException("the replica sends answers to no request without end"));
+        return;
+      }
       if (object instanceof LastHttpContent && receiver == answer) {
         end(context, answer);
       }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaLinks.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaLinks.java
@@ -77,6 +77,7 @@
             replica.replica().address(),
             CONNECT_TIMEOUT_MILLIS,
             pipeline -> {
+              pipeline.addLast(new UnaskedBytesGuard(link));
               pipeline.addLast(
                   new HttpClientCodec(HEAD_LINE_BYTES_MAX, HEAD_BYTES_MAX, CHUNK_BYTES_MAX));
               pipeline.addLast(link);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerBody.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerBody.java
@@ -12,10 +12,14 @@
   /** The largest answer that is held until it is whole. */
   private static final int HELD_BYTES_MAX = 4 * 1024 * 1024;
 
+  /** The bytes that may arrive, comments included, without making a whole event. */
+  private static final int EVENTLESS_BYTES_MAX = 256 * 1024;
+
   private final EventSplitter events = new EventSplitter();
   private ByteBuf held = Unpooled.EMPTY_BUFFER;
   private boolean streamed;
   private boolean byEvents;
+  private int commentBytes;
 
   /** Starts a body. */
   void begin(boolean inParts, boolean inEvents) {
@@ -43,17 +47,26 @@
     }
   }
 
-  /** Returns whether more has arrived than may be held. */
+  /** Returns whether more has arrived than may be held, or than an event may take. */
   boolean overflows() {
-    return held.readableBytes() > HELD_BYTES_MAX;
+    return held.readableBytes() > HELD_BYTES_MAX
+        || events.pendingBytes() + commentBytes > EVENTLESS_BYTES_MAX;
   }
 
-  /** Returns the next part to pass on, or an empty buffer. */
+  /** Returns the next part to pass on, or an empty buffer; comments alone are no part. */
   ByteBuf nextPart() {
-    if (byEvents) {
-      return events.next();
+    if (!byEvents) {
+      return takeBody();
+    }
+    ByteBuf event = events.next();
+    while (event.isReadable() && !EventSplitter.hasField(event)) {
+      commentBytes += event.readableBytes();
+      event = events.next();
+    }
+    if (event.isReadable()) {
+      commentBytes = 0;
     }
-    return takeBody();
+    return event;
   }
 
   /** Returns all that is held. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -1,8 +1,10 @@
 package org.coltsfootvale.router.serving;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.Optional;
@@ -183,26 +185,31 @@
     if (link != null) {
       read.keepAlive().ifPresent(link::idleMax);
     }
-    answer.begin(course.route().streaming() && isSuccess(response), course.route().resumable());
+    answer.begin(
+        course.route().streaming() && isSuccess(response),
+        course.route().resumable() || isEventStream(response));
     return true;
   }
 
   @Override
   public void onContent(ByteBuf content) {
-    heardNanos = with.nanoTime().getAsLong();
     answer.add(content);
-    if (answer.overflows()) {
-      lost("an answer larger than can be held");
-      return;
+    if (!answer.byEvents()) {
+      heardNanos = with.nanoTime().getAsLong();
     }
     if (answer.streamed() && genuineSuccess()) {
       deliverParts();
     }
+    if (!left && answer.overflows()) {
+      replica.health().failed();
+      lost("more bytes than an answer or an event may have");
+    }
   }
 
   private void deliverParts() {
     ByteBuf part = answer.nextPart();
     while (part.isReadable() && !left) {
+      heardNanos = with.nanoTime().getAsLong();
       deliverPart(part);
       part = answer.nextPart();
     }
@@ -323,6 +330,13 @@
     return read.genuine() && read.requestId().isPresent();
   }
 
+  /** Takes note that the request's time is over before its answer is whole. */
+  void timeOver() {
+    if (link != null) {
+      replica.health().failed();
+    }
+  }
+
   /** Slows the replica down or lets it go on. */
   void reading(boolean on) {
     if (link != null) {
@@ -330,6 +344,12 @@
     }
   }
 
+  private static boolean isEventStream(HttpResponse response) {
+    return HttpUtil.getMimeType(response) != null
+        && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(
+            HttpUtil.getMimeType(response));
+  }
+
   private static boolean isSuccess(HttpResponse response) {
     int status = response.status().code();
     return status >= 200 && status < 300;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EventSplitter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EventSplitter.java
@@ -10,9 +10,14 @@
 
   private static final byte LINE_FEED = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
+  private static final byte COLON = ':';
   private static final String ID_FIELD = "id:";
 
   private final ByteBuf pending = Unpooled.buffer();
+
+  /** The beginning of the line that is being read, and how far it has been read. */
+  private int lineStart;
+
   private int scanned;
 
   /** Adds bytes of the body. */
@@ -25,23 +30,29 @@
    * Returns the length of the first whole event, its blank line included, or 0 if there is none.
    */
   private int eventLength() {
-    int lineStart = scanned;
-    for (int i = lineStart; i < pending.readableBytes(); i++) {
-      if (pending.getByte(pending.readerIndex() + i) == LINE_FEED) {
-        if (i > 0 && blank(lineStart, i)) {
-          return i + 1;
-        }
-        lineStart = i + 1;
-        scanned = lineStart;
+    int readable = pending.readableBytes();
+    while (scanned < readable) {
+      int found =
+          pending.indexOf(
+              pending.readerIndex() + scanned, pending.readerIndex() + readable, LINE_FEED);
+      if (found < 0) {
+        scanned = readable;
+        return 0;
+      }
+      int lineEnd = found - pending.readerIndex();
+      scanned = lineEnd + 1;
+      if (lineEnd > 0 && blank(lineStart, lineEnd)) {
+        return scanned;
       }
+      lineStart = scanned;
     }
     return 0;
   }
 
-  private boolean blank(int lineStart, int lineEnd) {
-    int length = lineEnd - lineStart;
+  private boolean blank(int start, int end) {
+    int length = end - start;
     return length == 0
-        || (length == 1 && pending.getByte(pending.readerIndex() + lineStart) == CARRIAGE_RETURN);
+        || (length == 1 && pending.getByte(pending.readerIndex() + start) == CARRIAGE_RETURN);
   }
 
   /** Returns the next whole event as a copy of its bytes, or an empty buffer if there is none. */
@@ -50,7 +61,7 @@
     if (length == 0) {
       return Unpooled.EMPTY_BUFFER;
     }
-    scanned = 0;
+    restart();
     return Unpooled.copiedBuffer(pending.readSlice(length));
   }
 
@@ -59,12 +70,37 @@
     return pending.isReadable();
   }
 
+  /** Returns the number of bytes that make no whole event yet. */
+  int pendingBytes() {
+    return pending.readableBytes();
+  }
+
   /** Forgets the bytes that make no whole event. */
   void clear() {
     pending.clear();
+    restart();
+  }
+
+  private void restart() {
+    lineStart = 0;
     scanned = 0;
   }
 
+  /** Returns whether an event carries a field; one of blank lines and comments alone does not. */
+  static boolean hasField(ByteBuf event) {
+    int lineStart = event.readerIndex();
+    int end = event.writerIndex();
+    while (lineStart < end) {
+      byte first = event.getByte(lineStart);
+      if (first != COLON && first != LINE_FEED && first != CARRIAGE_RETURN) {
+        return true;
+      }
+      int lineEnd = event.indexOf(lineStart, end, LINE_FEED);
+      lineStart = lineEnd < 0 ? end : lineEnd + 1;
+    }
+    return false;
+  }
+
   /** Reads the id of an event, if it has one that is a number. */
   static OptionalLong idOf(ByteBuf event) {
     for (String line : event.toString(StandardCharsets.UTF_8).split("\r?\n")) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -158,6 +158,9 @@
 
   private void onTimeOver() {
     if (!ended) {
+      if (attempt != null) {
+        attempt.timeOver();
+      }
       follow(course.onTimeOver(), HttpResponseStatus.GATEWAY_TIMEOUT, "time over");
     }
   }
