--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerPlacements.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.core.dispatch;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -39,6 +40,25 @@
     latest.inFlightByReplica().forEach(this::addToTotal);
   }
 
+  /** Forgets what a router has told, as when another one speaks for it now. */
+  public void forget(String peer) {
+    Heard before = heardByPeer.remove(peer);
+    if (before != null) {
+      before.inFlightByReplica().forEach((replica, count) -> addToTotal(replica, -count));
+    }
+  }
+
+  /** Returns the requests of all other routers by replica. */
+  public Map<Long, Integer> inFlight() {
+    return Collections.unmodifiableMap(totals);
+  }
+
+  /** Returns the requests of one other router by replica. */
+  public Map<Long, Integer> inFlightOf(String peer) {
+    Heard heard = heardByPeer.get(peer);
+    return heard == null ? Map.of() : heard.inFlightByReplica();
+  }
+
   /** Returns the requests of all other routers at a replica. */
   public int inFlightAt(long replicaHash) {
     return totals.getOrDefault(replicaHash, 0);
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,14 +24,17 @@
   /** The parts that are remembered; the one that was used the longest time ago yields. */
   private static final int PARTS_MAX = 20_000;
 
+  /** How long after it was told a part that is used again is told again. */
+  private static final Duration TOLD_AGAIN = Duration.ofSeconds(10);
+
   private final long lifeNanos;
   private final LongSupplier nanoTime;
-  private final Map<Long, Map<Long, Long>> usedNanosByPart =
+  private final Map<Long, Map<Long, Use>> usesByPart =
       new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Map<Long, Long>> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Long, Map<Long, Use>> eldest) {
           return size() > PARTS_MAX;
         }
       };
@@ -52,13 +54,17 @@
 
   /** Takes note that this router sends a request with a part to a replica. */
   void placed(long part, ReplicaState replica) {
-    record(part, replica.cacheHash());
-    news.add(new Placed(part, replica.cacheHash()));
+    Use use = use(part, replica.cacheHash());
+    if (use.usedNanos - use.toldNanos >= TOLD_AGAIN.toNanos()) {
+      use.toldNanos = use.usedNanos;
+      news.add(new Placed(part, replica.cacheHash()));
+    }
   }
 
   /** Takes note that another router has sent a request with a part to a replica. */
   public void heard(Placed placed) {
-    record(placed.part(), placed.cache());
+    Use use = use(placed.part(), placed.cache());
+    use.toldNanos = use.usedNanos;
   }
 
   /** Returns what was placed since the last call, for the other routers. */
@@ -73,7 +79,8 @@
     long cache = ReplicaState.cacheHash(replica);
     for (String part : parts) {
       long partHash = RendezvousHashing.hash(part);
-      record(partHash, cache);
+      Use use = use(partHash, cache);
+      use.toldNanos = use.usedNanos;
       news.add(new Placed(partHash, cache));
     }
   }
@@ -81,7 +88,7 @@
   /** Returns all that is known, for a router that has just started. */
   public List<Placed> all() {
     List<Placed> all = new ArrayList<>();
-    usedNanosByPart.forEach(
+    usesByPart.forEach(
         (part, used) -> used.keySet().forEach(cache -> all.add(new Placed(part, cache))));
     return all;
   }
@@ -99,29 +106,39 @@
   /** Returns the hashes of the caches of which any part is known. */
   Set<Long> caches() {
     Set<Long> caches = new HashSet<>();
-    usedNanosByPart.values().forEach(used -> caches.addAll(used.keySet()));
+    usesByPart.values().forEach(used -> caches.addAll(used.keySet()));
     return caches;
   }
 
   /** Returns the hashes of the caches that hold a part. */
   Set<Long> holders(long part) {
-    Map<Long, Long> used = usedNanosByPart.get(part);
+    Map<Long, Use> used = usesByPart.get(part);
     if (used == null) {
       return Set.of();
     }
     long oldest = nanoTime.getAsLong() - lifeNanos;
-    Iterator<Long> times = used.values().iterator();
-    while (times.hasNext()) {
-      if (times.next() - oldest < 0) {
-        times.remove();
-      }
-    }
+    used.values().removeIf(use -> use.usedNanos - oldest < 0);
     return used.keySet();
   }
 
-  private void record(long part, long cache) {
-    usedNanosByPart
-        .computeIfAbsent(part, hash -> new LinkedHashMap<>())
-        .put(cache, nanoTime.getAsLong());
+  private Use use(long part, long cache) {
+    long now = nanoTime.getAsLong();
+    Use use =
+        usesByPart
+            .computeIfAbsent(part, hash -> new LinkedHashMap<>())
+            .computeIfAbsent(cache, hash -> new Use(now - TOLD_AGAIN.toNanos()));
+    use.usedNanos = now;
+    return use;
+  }
+
+  /** When a part was used last at a replica, and when the other routers were told of it. */
+  private static final class Use {
+
+    private long usedNanos;
+    private long toldNanos;
+
+    Use(long toldNanos) {
+      this.toldNanos = toldNanos;
+    }
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/NewsPace.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/NewsPace.java
@@ -5,8 +5,8 @@
 /** How often routers tell each other their news, and when one that tells nothing counts as gone. */
 public final class NewsPace {
 
-  /** The pause between news for each router that gets them: bounds what a large fleet spends. */
-  private static final Duration PAUSE_A_ROUTER = Duration.ofMillis(3);
+  /** The pause between news for each router that gets them: bounds what a relay spends. */
+  private static final Duration PAUSE_A_ROUTER = Duration.ofMillis(5);
 
   /** The shortest pause: loads change within some ten milliseconds. */
   private static final Duration PAUSE_MIN = Duration.ofMillis(50);
@@ -21,12 +21,17 @@
 
   private NewsPace() {}
 
-  /** Returns the pause between two news to all other routers. */
+  /**
+   * Returns the pause between two news.
+   *
+   * @param routers the routers that hear directly of each other: all of a small fleet, those of a
+   *     data centre in a larger one
+   */
   public static Duration pause(int routers) {
     return longer(PAUSE_MIN, PAUSE_A_ROUTER.multipliedBy(routers));
   }
 
-  /** Returns how long a router's latest news count. */
+  /** Returns how long a router's latest news count; see {@link #pause} for the number. */
   public static Duration life(int routers) {
     return longer(LIFE_MIN, pause(routers).multipliedBy(MISSED_MAX));
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterAdvertisement.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterAdvertisement.java
@@ -14,9 +14,16 @@
  * @param dataCentre where it runs
  * @param callerAddress where callers connect
  * @param peerAddress where other routers connect
+ * @param capacityCores the processor time that its host gives it, in cores
  */
 public record RouterAdvertisement(
-    String id, String dataCentre, HostPort callerAddress, HostPort peerAddress) {
+    String id,
+    String dataCentre,
+    HostPort callerAddress,
+    HostPort peerAddress,
+    double capacityCores) {
+
+  private static final double CAPACITY_UNKNOWN_CORES = 1;
 
   /** Writes the advertisement as JSON. */
   public byte[] encode() {
@@ -27,7 +34,8 @@
               .put("id", id)
               .put("dataCentre", dataCentre)
               .put("callerAddress", callerAddress.toString())
-              .put("peerAddress", peerAddress.toString()));
+              .put("peerAddress", peerAddress.toString())
+              .put("capacityCores", capacityCores));
     } catch (JsonProcessingException e) {
       throw new IllegalStateException("an advertisement could not be written", e);
     }
@@ -42,7 +50,8 @@
               tree.path("id").asText(),
               tree.path("dataCentre").asText(),
               HostPort.parse(tree.path("callerAddress").asText()),
-              HostPort.parse(tree.path("peerAddress").asText())));
+              HostPort.parse(tree.path("peerAddress").asText()),
+              tree.path("capacityCores").asDouble(CAPACITY_UNKNOWN_CORES)));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
@@ -7,11 +7,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.store.LapsingTable;
 import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.store.StoreEntry;
+import org.coltsfootvale.core.support.RendezvousHashing;
 
 /** The live routers by their advertisements. Confined to one thread. */
 public final class RouterRegistry implements PrefixFollower.Listener {
@@ -29,6 +31,9 @@
   private final LongSupplier nanoTime;
   private final Map<String, Long> advertisedNanosById = new HashMap<>();
   private final LapsingTable<RouterAdvertisement> routers;
+  private List<RouterAdvertisement> sorted = List.of();
+  private Map<Long, String> idsByHash = Map.of();
+  private boolean changed = true;
 
   /**
    * Creates a registry that knows only this router.
@@ -40,9 +45,12 @@
   public RouterRegistry(RouterAdvertisement self, Duration lapseGrace, LongSupplier nanoTime) {
     this.self = self;
     this.nanoTime = nanoTime;
-    this.routers =
-        new LapsingTable<>(
-            lapseGrace, nanoTime, (key, router) -> advertisedNanosById.remove(router.id()));
+    this.routers = new LapsingTable<>(lapseGrace, nanoTime, (key, router) -> onDropped(router));
+  }
+
+  private void onDropped(RouterAdvertisement router) {
+    advertisedNanosById.remove(router.id());
+    changed = true;
   }
 
   @Override
@@ -63,6 +71,7 @@
         .ifPresentOrElse(
             router -> {
               routers.put(entry.key(), router);
+              changed = true;
               advertisedNanosById.put(router.id(), nanoTime.getAsLong());
             },
             () -> routers.remove(entry.key(), false));
@@ -83,14 +92,32 @@
     return routers.size() + (advertisedSelf() ? 0 : 1);
   }
 
-  /** Returns the advertised routers, this one included. */
+  /** Returns the advertised routers, this one included, by their ids. */
   public List<RouterAdvertisement> routers() {
-    List<RouterAdvertisement> all = new ArrayList<>(routers.all());
-    if (!advertisedSelf()) {
-      all.add(self);
+    if (changed) {
+      List<RouterAdvertisement> all = new ArrayList<>(routers.all());
+      if (!advertisedSelf()) {
+        all.add(self);
+      }
+      all.sort(Comparator.comparing(RouterAdvertisement::id));
+      Map<Long, String> hashes = new HashMap<>();
+      all.forEach(router -> hashes.put(RendezvousHashing.hash(router.id()), router.id()));
+      sorted = List.copyOf(all);
+      idsByHash = hashes;
+      changed = false;
     }
-    all.sort(Comparator.comparing(RouterAdvertisement::id));
-    return all;
+    return sorted;
+  }
+
+  /** Returns the id of an advertised router by its hash. */
+  public Optional<String> idOf(long hash) {
+    routers();
+    return Optional.ofNullable(idsByHash.get(hash));
+  }
+
+  /** Returns this router's advertisement. */
+  public RouterAdvertisement self() {
+    return self;
   }
 
   /**
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -6,6 +6,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
@@ -44,13 +46,16 @@
   private final Listener listener;
   private final Duration wait;
   private final Duration settle;
+  private final Duration firstWait;
   private final Scheduler scheduler;
   private final DoubleSupplier random;
   private final DecisionLog log;
   private final Map<String, StoreEntry> known = new HashMap<>();
   private long knownRevision;
   private long latestChange;
+  private Consumer<PrefixUpdate> onUpdate = update -> {};
   private boolean running;
+  private boolean reading;
   private long generation;
   private int failuresInRow;
   private boolean current;
@@ -64,6 +69,8 @@
    * @param listener hears of readings and changes
    * @param wait the longest wait of one call for changes
    * @param settle the pause after a change, in which further ones gather at the store
+   * @param firstWait the pause after a whole reading, in which a router may be heard that reads the
+   *     changes for this one
    * @param scheduler runs the next call
    * @param random gives numbers in [0, 1) that spread pauses
    * @param log takes the loss and the return of the store
@@ -74,6 +81,7 @@
       Listener listener,
       Duration wait,
       Duration settle,
+      Duration firstWait,
       Scheduler scheduler,
       DoubleSupplier random,
       DecisionLog log) {
@@ -82,11 +90,17 @@
     this.listener = listener;
     this.wait = wait;
     this.settle = settle;
+    this.firstWait = firstWait;
     this.scheduler = scheduler;
     this.random = random;
     this.log = log;
   }
 
+  /** Hands each update that was news to this router to a consumer, which may pass it on. */
+  public void onUpdate(Consumer<PrefixUpdate> consumer) {
+    onUpdate = consumer;
+  }
+
   @Override
   public void start() {
     running = true;
@@ -102,17 +116,40 @@
   /** Abandons the calls under way and reads everything anew, for example after a pause. */
   public void restart() {
     generation++;
+    reading = true;
     current = false;
     readPage(generation, "", new ArrayList<>(), Long.MAX_VALUE);
   }
 
+  /**
+   * Calls the store for changes, or leaves that to another router that passes them on. What has
+   * begun with a reading is left only once that reading is taken.
+   *
+   * @param called whether to call the store
+   */
+  public void follow(boolean called) {
+    if (running && called && !reading) {
+      reading = true;
+      generation++;
+      awaitChanges(generation, knownRevision);
+    } else if (!called && reading && current()) {
+      reading = false;
+      generation++;
+    }
+  }
+
+  /** Returns whether this router calls the store for changes. */
+  public boolean reading() {
+    return reading;
+  }
+
   /**
    * Takes note that a call elsewhere has found the store back after an outage: the call under way
    * may have been lost in it without an error, and is replaced.
    */
   public void storeReturned() {
-    if (running && current()) {
-      listener.onStoreReturned();
+    if (running && reading && current()) {
+      lapsed();
       generation++;
       awaitChanges(generation, knownRevision);
     }
@@ -123,7 +160,7 @@
     return everRead;
   }
 
-  /** Returns whether a whole reading was taken and no call has failed since. */
+  /** Returns whether a whole reading was taken and no call of its own has failed since. */
   public boolean current() {
     return current && failuresInRow == 0;
   }
@@ -156,8 +193,14 @@
       return;
     }
     current = true;
-    take(read, revision);
-    awaitChanges(started, revision);
+    if (revision >= knownRevision) {
+      take(read, revision);
+    }
+    if (firstWait.isZero()) {
+      awaitChanges(started, knownRevision);
+    } else {
+      scheduler.schedule(firstWait, () -> awaitChanges(started, knownRevision));
+    }
   }
 
   private void awaitChanges(long started, long revision) {
@@ -176,8 +219,7 @@
                     changesFailed(started, failure);
                   } else {
                     succeeded();
-                    changes.entries().forEach(this::changed);
-                    knownRevision = Math.max(knownRevision, changes.revision());
+                    take(changes);
                     awaitNext(started, changes);
                   }
                 });
@@ -191,16 +233,57 @@
     }
   }
 
+  private void take(StoreChanges changes) {
+    long base = latestChange;
+    List<StoreEntry> news = new ArrayList<>();
+    for (StoreEntry entry : changes.entries()) {
+      if (changed(entry)) {
+        news.add(entry);
+      }
+    }
+    knownRevision = Math.max(knownRevision, changes.revision());
+    if (!news.isEmpty()) {
+      onUpdate.accept(new PrefixUpdate(prefix, base, knownRevision, news, false));
+    }
+  }
+
   private void take(List<StoreEntry> entries, long revision) {
     everRead = true;
+    long base = latestChange;
+    Map<String, StoreEntry> before = new HashMap<>(known);
+    List<StoreEntry> news = new ArrayList<>();
     known.clear();
-    entries.forEach(
-        entry -> {
-          known.put(entry.key(), entry);
-          latestChange = Math.max(latestChange, entry.revision());
-        });
+    for (StoreEntry entry : entries) {
+      known.put(entry.key(), entry);
+      latestChange = Math.max(latestChange, entry.revision());
+      StoreEntry old = before.remove(entry.key());
+      if (old == null || old.revision() != entry.revision()) {
+        news.add(entry);
+      }
+    }
+    before.keySet().forEach(key -> news.add(new StoreEntry(key, Optional.empty(), revision)));
     knownRevision = revision;
     listener.onReading(entries);
+    if (!news.isEmpty()) {
+      onUpdate.accept(new PrefixUpdate(prefix, base, revision, news, false));
+    }
+  }
+
+  /**
+   * Takes what another router passes on of its reading.
+   *
+   * @return false if something between what is known here and the update is missing, so that the
+   *     other router has to be asked for all
+   */
+  public boolean learn(PrefixUpdate update) {
+    if (update.storeReturned()) {
+      lapsed();
+    }
+    if (knownRevision < update.baseRevision()) {
+      return false;
+    }
+    take(new StoreChanges(update.entries(), update.revision()));
+    return true;
   }
 
   /**
@@ -213,10 +296,10 @@
     if (revision <= knownRevision) {
       return;
     }
-    boolean lagging = current();
+    boolean lagging = reading && current();
     if (lagging) {
       // The store was out of reach without a failure, so that entries may have lapsed meanwhile.
-      listener.onStoreReturned();
+      lapsed();
     }
     take(entries, revision);
     if (lagging) {
@@ -246,12 +329,16 @@
     return prefix;
   }
 
-  /** Pages are read one after the other, so a change may be older than what a later page held. */
-  private void changed(StoreEntry entry) {
+  /**
+   * Pages are read one after the other, so a change may be older than what a later page held; and
+   * several routers may tell the same change. Returns whether it was news.
+   */
+  private boolean changed(StoreEntry entry) {
     latestChange = Math.max(latestChange, entry.revision());
     StoreEntry before = known.get(entry.key());
-    if (before != null && entry.revision() <= before.revision()) {
-      return;
+    boolean older = before != null && entry.revision() <= before.revision();
+    if (older || entry.revision() <= knownRevision) {
+      return false;
     }
     if (entry.value().isPresent()) {
       known.put(entry.key(), entry);
@@ -259,6 +346,13 @@
       known.remove(entry.key());
     }
     listener.onChange(entry);
+    return true;
+  }
+
+  /** Takes note that entries may have lapsed while the store was out of reach. */
+  private void lapsed() {
+    listener.onStoreReturned();
+    onUpdate.accept(new PrefixUpdate(prefix, 0, 0, List.of(), true));
   }
 
   private void changesFailed(long started, Throwable failure) {
@@ -282,7 +376,7 @@
               .with("prefix", prefix)
               .with("failures", failures)
               .with("known_revision", knownRevision));
-      listener.onStoreReturned();
+      lapsed();
     }
   }
 
--- /dev/null
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/RelayTopologyTest.java
@@ -0,0 +1,251 @@
+package org.coltsfootvale.core.registry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.store.StoreEntry;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Fleets of several sizes whose routers decide, each for itself, whom they tell their news. */
+@Test(singleThreaded = true)
+public class RelayTopologyTest {
+
+  private static final int DATA_CENTRES = 5;
+
+  /** What a router may spend on news in a second, in messages to others. */
+  private static final double MESSAGES_A_SECOND_MAX = 250;
+
+  private AtomicLong now = new AtomicLong();
+
+  @BeforeMethod
+  void reset() {
+    now = new AtomicLong();
+  }
+
+  @DataProvider
+  Object[][] fleets() {
+    return new Object[][] {{13}, {23}, {95}, {320}};
+  }
+
+  @Test
+  public void theRoutersOfASmallFleetTellEachOther() {
+    assertTrue(new Member(fleet(RelayTopology.DIRECT_MAX), 0).topology.direct());
+    assertFalse(new Member(fleet(RelayTopology.DIRECT_MAX + 1), 0).topology.direct());
+  }
+
+  @Test(dataProvider = "fleets")
+  public void allRoutersOfADataCentreAgreeOnItsRelayWithoutAsking(int size) {
+    List<RouterAdvertisement> fleet = fleet(size);
+    Set<String> relays = new HashSet<>();
+    int relaying = 0;
+    for (int i = 0; i < size; i++) {
+      Member member = new Member(fleet, i);
+      relays.add(member.relayId());
+      relaying += member.topology.relay().isEmpty() ? 1 : 0;
+    }
+    assertEquals(relays.size(), DATA_CENTRES);
+    assertEquals(relaying, DATA_CENTRES);
+  }
+
+  @Test(dataProvider = "fleets")
+  public void theMessagesOfAFleetGrowWithItsSizeAndNotWithItsSquare(int size) {
+    List<RouterAdvertisement> fleet = fleet(size);
+    double total = 0;
+    for (int i = 0; i < size; i++) {
+      Member member = new Member(fleet, i);
+      int neighbours = member.topology.neighbours();
+      double receivers = 1;
+      if (member.topology.relay().isEmpty()) {
+        receivers = neighbours - 1 + member.topology.relaysElsewhere().size();
+      }
+      double perSecond = receivers * 1_000.0 / NewsPace.pause(neighbours).toMillis();
+      assertTrue(perSecond <= MESSAGES_A_SECOND_MAX, perSecond + " messages a second");
+      total += perSecond;
+    }
+    // Each router reports and is told once a round; besides, each relay tells all others.
+    double aRound = 2.0 * size + DATA_CENTRES * (DATA_CENTRES - 1);
+    assertTrue(total <= aRound * 1_000 / NewsPace.pause(1).toMillis(), total + " in all");
+  }
+
+  @Test
+  public void aRelayIsAmongThoseWithTheMostCapacity() {
+    List<RouterAdvertisement> fleet = fleet(95);
+    for (int i = 0; i < fleet.size(); i++) {
+      String relay = new Member(fleet, i).relayId();
+      double cores =
+          fleet.stream()
+              .filter(router -> router.id().equals(relay))
+              .findFirst()
+              .orElseThrow()
+              .capacityCores();
+      assertEquals(cores, 1.5);
+    }
+  }
+
+  @Test
+  public void aRelayThatStaysSilentIsPassedOverForAWhile() {
+    Member member = memberWithRelay();
+    RouterAdvertisement relay = member.topology.relay().orElseThrow();
+    member.topology.told(relay);
+    advance(RelayTopology.SILENCE_MAX.plusMillis(1));
+    member.topology.told(relay);
+    assertFalse(member.relayId().equals(relay.id()));
+    advance(RelayTopology.PASSED_OVER.plusMillis(1));
+    assertEquals(member.relayId(), relay.id());
+  }
+
+  @Test
+  public void aRelayThatAnswersStays() {
+    Member member = memberWithRelay();
+    RouterAdvertisement relay = member.topology.relay().orElseThrow();
+    for (int i = 0; i < 50; i++) {
+      member.topology.told(relay);
+      advance(Duration.ofMillis(100));
+      member.topology.heard(relay.id());
+    }
+    assertEquals(member.topology.relay(), Optional.of(relay));
+  }
+
+  @Test
+  public void whenAllOthersAreSilentARouterRelaysItself() {
+    Member member = memberWithRelay();
+    for (int i = 0; i < 40 && member.topology.relay().isPresent(); i++) {
+      RouterAdvertisement relay = member.topology.relay().orElseThrow();
+      member.topology.told(relay);
+      advance(RelayTopology.SILENCE_MAX.plusMillis(1));
+      member.topology.told(relay);
+      now.addAndGet(-RelayTopology.SILENCE_MAX.plusMillis(1).toNanos());
+    }
+    assertTrue(member.topology.relay().isEmpty());
+  }
+
+  @Test
+  public void aRouterLeavesTheStoreToARelayThatIsUpToDate() {
+    Member member = memberWithRelay();
+    ReaderRole role = new ReaderRole(member.topology, now::get);
+    assertTrue(role.reads(false), "nobody is known to read");
+    role.heardCurrent();
+    assertFalse(role.reads(true));
+  }
+
+  @Test
+  public void aRouterThatHearsNobodyAnyMoreReadsTheStoreItself() {
+    Member member = memberWithRelay();
+    ReaderRole role = new ReaderRole(member.topology, now::get);
+    role.heardCurrent();
+    advance(ReaderRole.PATIENCE.plusMillis(1));
+    assertTrue(role.reads(false));
+  }
+
+  @Test
+  public void whenTheStoreIsAwayFromAllRelaysFurtherReadersStepInOneAfterTheOther() {
+    List<RouterAdvertisement> fleet = fleet(95);
+    List<ReaderRole> roles = new ArrayList<>();
+    for (int i = 0; i < fleet.size(); i++) {
+      ReaderRole role = new ReaderRole(new Member(fleet, i).topology, now::get);
+      role.heardCurrent();
+      roles.add(role);
+    }
+    assertEquals(reading(roles), DATA_CENTRES);
+    advance(ReaderRole.PATIENCE.plusMillis(1));
+    assertEquals(reading(roles), DATA_CENTRES);
+    advance(ReaderRole.STEP);
+    assertEquals(reading(roles), 2 * DATA_CENTRES);
+    advance(ReaderRole.STEP);
+    assertEquals(reading(roles), 3 * DATA_CENTRES);
+  }
+
+  @Test
+  public void threeRoutersReadInAFleetOfOneDataCentre() {
+    List<RouterAdvertisement> fleet = new ArrayList<>();
+    for (RouterAdvertisement router : fleet(30)) {
+      fleet.add(
+          new RouterAdvertisement(
+              router.id(), "dc", router.callerAddress(), router.peerAddress(), 1));
+    }
+    List<ReaderRole> roles = new ArrayList<>();
+    for (int i = 0; i < fleet.size(); i++) {
+      ReaderRole role = new ReaderRole(new Member(fleet, i).topology, now::get);
+      role.heardCurrent();
+      roles.add(role);
+    }
+    assertEquals(reading(roles), ReaderRole.READERS_MIN);
+  }
+
+  @Test
+  public void aRelayAndARouterOfASmallFleetReadTheStore() {
+    Member small = new Member(fleet(6), 0);
+    ReaderRole role = new ReaderRole(small.topology, now::get);
+    role.heardCurrent();
+    assertTrue(role.reads(true));
+  }
+
+  private static long reading(List<ReaderRole> roles) {
+    return roles.stream().filter(role -> role.reads(true)).count();
+  }
+
+  private Member memberWithRelay() {
+    List<RouterAdvertisement> fleet = fleet(95);
+    for (int i = 0; i < fleet.size(); i++) {
+      Member member = new Member(fleet, i);
+      if (member.topology.relay().isPresent()) {
+        return member;
+      }
+    }
+    throw new AssertionError("every router is a relay");
+  }
+
+  private void advance(Duration time) {
+    now.addAndGet(TimeUnit.MILLISECONDS.toNanos(time.toMillis()));
+  }
+
+  private static List<RouterAdvertisement> fleet(int size) {
+    List<RouterAdvertisement> fleet = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      boolean large = i < 3 * DATA_CENTRES;
+      fleet.add(
+          new RouterAdvertisement(
+              "router-" + i,
+              "dc-" + i % DATA_CENTRES,
+              new HostPort("10.0.0.1", 1_000 + i),
+              new HostPort("10.0.0.1", 2_000 + i),
+              large ? 1.5 : 0.36));
+    }
+    return fleet;
+  }
+
+  /** One router's view of the fleet. */
+  private final class Member {
+
+    private final RouterAdvertisement self;
+    private final RelayTopology topology;
+
+    Member(List<RouterAdvertisement> fleet, int index) {
+      self = fleet.get(index);
+      RouterRegistry registry = new RouterRegistry(self, Duration.ofSeconds(2), now::get);
+      List<StoreEntry> entries = new ArrayList<>();
+      for (RouterAdvertisement router : fleet) {
+        String key = RouterRegistry.PREFIX + router.id();
+        entries.add(new StoreEntry(key, Optional.of(router.encode()), 1));
+      }
+      registry.onReading(entries);
+      topology = new RelayTopology(registry, now::get);
+    }
+
+    String relayId() {
+      return topology.relay().map(RouterAdvertisement::id).orElse(self.id());
+    }
+  }
+}
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/RouterRegistryTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/RouterRegistryTest.java
@@ -89,6 +89,6 @@
 
   private static RouterAdvertisement router(String id) {
     return new RouterAdvertisement(
-        id, "dc", new HostPort("10.0.0.1", 80), new HostPort("10.0.0.1", 81));
+        id, "dc", new HostPort("10.0.0.1", 80), new HostPort("10.0.0.1", 81), 0.5);
   }
 }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
@@ -20,6 +20,7 @@
   private List<String> told = new ArrayList<>();
   private List<Runnable> later = new ArrayList<>();
   private Duration settle = Duration.ZERO;
+  private Duration firstWait = Duration.ZERO;
   private PrefixFollower follower = create();
 
   @BeforeMethod
@@ -28,6 +29,7 @@
     told = new ArrayList<>();
     later = new ArrayList<>();
     settle = Duration.ZERO;
+    firstWait = Duration.ZERO;
     follower = create();
     follower.start();
   }
@@ -157,6 +159,113 @@
     assertEquals(told, List.of("reading"));
   }
 
+  @Test
+  public void changesThatAnotherRouterReadsAreTakenWithoutACallToTheStore() {
+    firstWait = Duration.ofMillis(400);
+    store = new ScriptedStore();
+    follower = create();
+    follower.start();
+    readEmpty();
+    follower.follow(false);
+    runLater();
+    assertEquals(store.calls.size(), 1);
+    assertTrue(follower.learn(update(10, 12, entry("p/a", 12))));
+    assertEquals(told, List.of("reading", "change p/a@12"));
+    assertEquals(store.calls.size(), 1);
+  }
+
+  @Test
+  public void aRouterThatStepsInAsksForTheChangesSinceWhatItWasTold() {
+    readEmpty();
+    follower.follow(false);
+    follower.learn(update(10, 14, entry("p/a", 12)));
+    follower.follow(true);
+    assertEquals(store.lastCall(), "changes of p/ after 14");
+  }
+
+  @Test
+  public void aReadingThatHasBegunIsNotLeftToOthers() {
+    follower.follow(false);
+    assertTrue(follower.reading());
+    readEmpty();
+    assertEquals(told, List.of("reading"));
+  }
+
+  @Test
+  public void anUpdateThatBuildsOnSomethingUnknownIsNotTaken() {
+    readEmpty();
+    follower.follow(false);
+    assertFalse(follower.learn(update(11, 12, entry("p/a", 12))));
+    assertEquals(told, List.of("reading"));
+    follower.learn(List.of(entry("p/b", 11), entry("p/a", 12)), 12);
+    assertEquals(told, List.of("reading", "reading p/b@11 p/a@12"));
+  }
+
+  @Test
+  public void anUpdateThatArrivesLateBringsNothingBack() {
+    readEmpty();
+    follower.follow(false);
+    StoreEntry gone = new StoreEntry("p/a", Optional.empty(), 12);
+    follower.learn(update(10, 11, entry("p/a", 11)));
+    follower.learn(update(11, 12, gone));
+    follower.learn(update(10, 11, entry("p/a", 11)));
+    assertEquals(follower.known(), List.of());
+  }
+
+  @Test
+  public void aReadingOlderThanWhatWasToldIsNotTaken() {
+    follower.learn(List.of(entry("p/a", 14)), 15);
+    store.answer(new StorePage(List.of(), true, 13));
+    assertEquals(told, List.of("reading p/a@14"));
+    assertEquals(store.lastCall(), "changes of p/ after 15");
+  }
+
+  @Test
+  public void whatIsReadIsPassedOnWithWhatItBuildsOn() {
+    List<PrefixUpdate> passedOn = new ArrayList<>();
+    follower.onUpdate(passedOn::add);
+    store.answer(new StorePage(List.of(entry("p/a", 9), entry("p/b", 8)), true, 10));
+    store.answer(new StoreChanges(List.of(entry("p/c", 12)), 13));
+    follower.restart();
+    store.fail(StoreException.Fault.NO_ANSWER);
+    store.answer(new StorePage(List.of(entry("p/a", 9), entry("p/c", 12)), true, 20));
+    assertEquals(
+        passedOn,
+        List.of(
+            update(0, 10, entry("p/a", 9), entry("p/b", 8)),
+            update(9, 13, entry("p/c", 12)),
+            update(12, 20, new StoreEntry("p/b", Optional.empty(), 20))));
+  }
+
+  @Test
+  public void theStoresReturnIsPassedOnBeforeWhatHasChangedMeanwhile() {
+    readEmpty();
+    List<PrefixUpdate> passedOn = new ArrayList<>();
+    follower.onUpdate(passedOn::add);
+    store.fail(StoreException.Fault.NO_ANSWER);
+    runLater();
+    store.answer(new StorePage(List.of(entry("p/a", 11)), true, 15));
+    assertEquals(
+        passedOn,
+        List.of(new PrefixUpdate("p/", 0, 0, List.of(), true), update(0, 15, entry("p/a", 11))));
+  }
+
+  @Test
+  public void aRouterThatHasNotReachedTheStoreAgainLearnsOfItsReturnFromOthers() {
+    readEmpty();
+    List<PrefixUpdate> passedOn = new ArrayList<>();
+    follower.onUpdate(passedOn::add);
+    store.fail(StoreException.Fault.NO_ANSWER);
+    PrefixUpdate returned = new PrefixUpdate("p/", 0, 0, List.of(), true);
+    follower.learn(returned);
+    assertEquals(told, List.of("reading", "returned"));
+    assertEquals(passedOn, List.of(returned));
+  }
+
+  private static PrefixUpdate update(long base, long revision, StoreEntry... entries) {
+    return new PrefixUpdate("p/", base, revision, List.of(entries), false);
+  }
+
   private void readEmpty() {
     store.answer(new StorePage(List.of(), true, 10));
   }
@@ -191,6 +300,7 @@
         listener,
         Duration.ofSeconds(5),
         settle,
+        firstWait,
         (delay, task) -> later.add(task),
         () -> 0.5,
         DecisionLog.NONE);
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerHandler.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerHandler.java
@@ -7,6 +7,7 @@
 import org.coltsfootvale.protocol.wire.Gossip;
 import org.coltsfootvale.protocol.wire.NotesReply;
 import org.coltsfootvale.protocol.wire.NotesRequest;
+import org.coltsfootvale.protocol.wire.PrefixChanges;
 import org.coltsfootvale.protocol.wire.PrefixReply;
 import org.coltsfootvale.protocol.wire.PrefixRequest;
 import org.coltsfootvale.protocol.wire.ServingNews;
@@ -33,6 +34,9 @@
   /** Takes what another router has placed; ignored by routers that share no placements. */
   default void onServingNews(RouterIncarnation from, ServingNews news) {}
 
+  /** Takes changes of a prefix of the store that another router passes on. */
+  default void onPrefixChanges(RouterIncarnation from, PrefixChanges changes) {}
+
   /** Answers a question for all parts of prompts that were placed. */
   default ServingNews onPlacementsRequest(RouterIncarnation from) {
     return ServingNews.getDefaultInstance();
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CacheInspection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CacheInspection.java
@@ -1,11 +1,12 @@
 package org.coltsfootvale.router.serving;
 
 import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.dispatch.CacheCensus;
-import org.coltsfootvale.core.dispatch.PeerPlacements;
 import org.coltsfootvale.core.dispatch.PromptLocations;
 import org.coltsfootvale.core.error.Failures;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
@@ -18,7 +19,7 @@
   private final String routerId;
   private final CacheCensus census;
   private final RouterRegistry registry;
-  private final PeerPlacements placements;
+  private final Supplier<Set<String>> heardIds;
   private final ServingState state;
   private final PromptLocations locations;
   private final CacheInspector inspector;
@@ -28,7 +29,7 @@
       String routerId,
       CacheCensus census,
       RouterRegistry registry,
-      PeerPlacements placements,
+      Supplier<Set<String>> heardIds,
       ServingState state,
       PromptLocations locations,
       CacheInspector inspector,
@@ -36,7 +37,7 @@
     this.routerId = routerId;
     this.census = census;
     this.registry = registry;
-    this.placements = placements;
+    this.heardIds = heardIds;
     this.state = state;
     this.locations = locations;
     this.inspector = inspector;
@@ -54,7 +55,7 @@
       return;
     }
     List<String> advertised = registry.routers().stream().map(RouterAdvertisement::id).toList();
-    List<Replica> due = census.due(routerId, advertised, placements.heardIds(), state.engines());
+    List<Replica> due = census.due(routerId, advertised, heardIds.get(), state.engines());
     due.forEach(this::ask);
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryPoints.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryPoints.java
@@ -1,13 +1,13 @@
 package org.coltsfootvale.router.serving;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.registry.EntryChoice;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.registry.RouterRegistry;
 
@@ -28,12 +28,26 @@
 
   private final RouterRegistry registry;
   private final Supplier<Set<String>> heardIds;
+  private final Supplier<Set<String>> lateIds;
   private final BooleanSupplier ready;
   private int answers;
 
-  EntryPoints(RouterRegistry registry, Supplier<Set<String>> heardIds, BooleanSupplier ready) {
+  /**
+   * Creates the answers.
+   *
+   * @param registry the advertised routers
+   * @param heardIds the other routers that are heard
+   * @param lateIds the routers that are late with their work
+   * @param ready whether this router takes new callers
+   */
+  EntryPoints(
+      RouterRegistry registry,
+      Supplier<Set<String>> heardIds,
+      Supplier<Set<String>> lateIds,
+      BooleanSupplier ready) {
     this.registry = registry;
     this.heardIds = heardIds;
+    this.lateIds = lateIds;
     this.ready = ready;
   }
 
@@ -44,13 +58,15 @@
 
   /** Returns the routers for a caller in a data centre. */
   public EntryAnswer forCallerIn(String dataCentre) {
-    List<RouterAdvertisement> live = new ArrayList<>(registry.live(heardIds.get()));
+    List<RouterAdvertisement> live =
+        EntryChoice.withoutLate(registry.live(heardIds.get()), lateIds.get());
     if (!ready()) {
       live.removeIf(router -> registry.isSelf(router));
     }
     List<RouterAdvertisement> local =
         live.stream().filter(router -> router.dataCentre().equals(dataCentre)).toList();
-    List<RouterAdvertisement> chosen = new ArrayList<>(local.size() >= LOCAL_MIN ? local : live);
+    List<RouterAdvertisement> chosen =
+        EntryChoice.byCapacity(local.size() >= LOCAL_MIN ? local : live, ROUTERS_MAX);
     // Each answer begins elsewhere, so that callers find all routers of a long list.
     Collections.rotate(chosen, answers++);
     List<HostPort> addresses =
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -18,8 +18,10 @@
 import org.coltsfootvale.core.dispatch.DispatchOptions;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
 import org.coltsfootvale.core.dispatch.PromptLocations;
+import org.coltsfootvale.core.registry.Lateness;
 import org.coltsfootvale.core.registry.LeaseKeeper;
 import org.coltsfootvale.core.registry.NewsPace;
+import org.coltsfootvale.core.registry.RelayTopology;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.replica.Replica;
@@ -82,6 +84,7 @@
   private final LeaseKeeper advertisement;
   private final FleetExchange exchange;
   private final PauseWatch pauseWatch;
+  private final Lateness lateness;
   private final List<HttpListener> smallListeners;
   private final Optional<ObservationListener> observation;
   private final DecisionLog log;
@@ -117,9 +120,11 @@
     UniformRandomProvider random = new SplitMix64(System.nanoTime());
     RouterAdvertisement self = advertisementOf(settings);
     registry = new RouterRegistry(self, LAPSE_GRACE, nanoTime);
+    RelayTopology topology = new RelayTopology(registry, nanoTime);
     locations = new PromptLocations(CACHE_LIFE, nanoTime);
     CacheCensus census = new CacheCensus(settings.firstStart(), locations, nanoTime);
-    placements = new PeerPlacements(() -> NewsPace.life(registry.size()), nanoTime);
+    placements = new PeerPlacements(() -> NewsPace.life(topology.neighbours()), nanoTime);
+    lateness = new Lateness(TICK, nanoTime);
     state = servingState(random);
     replicas = new ReplicaTable(LAPSE_GRACE, nanoTime, new ReplicaListener());
     links = new ReplicaLinks(loop, nanoTime);
@@ -133,8 +138,9 @@
         following.desiredState(
             formats.desiredStateKey(),
             new DesiredStateFeed(formats, state, this.log, this::onStoreReturned));
-    replicaEntries = following.entries(formats.replicaPrefix(), new ReplicaFeed(formats, replicas));
-    routerEntries = following.entries(RouterRegistry.PREFIX, registry);
+    replicaEntries =
+        following.replicas(formats.replicaPrefix(), new ReplicaFeed(formats, replicas));
+    routerEntries = following.routers(RouterRegistry.PREFIX, registry);
     advertisement =
         new LeaseKeeper(
             counted,
@@ -148,6 +154,7 @@
             settings,
             loop,
             registry,
+            topology,
             state,
             locations,
             placements,
@@ -158,10 +165,18 @@
             nanoTime);
     caches =
         new CacheInspection(
-            settings.id(), census, registry, placements, state, locations, inspector, this.log);
+            settings.id(),
+            census,
+            registry,
+            exchange::heardIds,
+            state,
+            locations,
+            inspector,
+            this.log);
     pauseWatch = new PauseWatch(nanoTime, System::currentTimeMillis);
     smallListeners =
-        smallListeners(new EntryPoints(registry, placements::heardIds, this::ready), formats);
+        smallListeners(
+            new EntryPoints(registry, exchange::heardIds, exchange::lateIds, this::ready), formats);
     observation = observation(new MetricsPage(metrics, counted));
   }
 
@@ -172,7 +187,11 @@
 
   private static RouterAdvertisement advertisementOf(EntrySettings settings) {
     return new RouterAdvertisement(
-        settings.id(), settings.dataCentre(), settings.callerAddress(), settings.peerAddress());
+        settings.id(),
+        settings.dataCentre(),
+        settings.callerAddress(),
+        settings.peerAddress(),
+        settings.capacityCores());
   }
 
   private ServingState servingState(UniformRandomProvider random) {
@@ -183,7 +202,8 @@
         placements,
         nanoTime,
         random,
-        log);
+        log,
+        lateness);
   }
 
   private Optional<ObservationListener> observation(MetricsPage page) {
@@ -262,11 +282,12 @@
   }
 
   private void tellPeers() {
-    exchange.tell();
-    loop.schedule(NewsPace.pause(registry.size()), this::tellPeers);
+    loop.schedule(exchange.tell(), this::tellPeers);
   }
 
   private void tick() {
+    lateness.ran();
+    exchange.late(lateness.late());
     if (pauseWatch.pausedSinceLastCall()) {
       log.record(
           Decision.of(DecisionEvent.PROCESS_PAUSED).with("next", "all beliefs are read anew"));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -25,6 +25,7 @@
  * @param repeatAllowance the repeats that the fleet may make in a window besides
  * @param repeatWindow the sliding window of the two figures above
  * @param metrics where metrics are served, if anywhere
+ * @param capacityCores the processor time that the host gives it, in cores
  */
 public record EntrySettings(
     String id,
@@ -41,7 +42,8 @@
     double repeatRatio,
     double repeatAllowance,
     Duration repeatWindow,
-    Optional<MetricsAddress> metrics) {
+    Optional<MetricsAddress> metrics,
+    double capacityCores) {
 
   /**
    * Copies the list and checks the secret.
@@ -73,6 +75,7 @@
         repeatRatio,
         repeatAllowance,
         repeatWindow,
-        metrics);
+        metrics,
+        capacityCores);
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -57,6 +57,13 @@
   private final ServiceDispatcher dispatcher;
   private final ExchangeLog log;
   private @Nullable Attempt attempt;
+
+  /**
+   * In which time the close of a caller is read that left while its request waited unread: the loop
+   * reads the bytes of a connection first and its end the next time.
+   */
+  private static final Duration CLOSE_NOTICED = Duration.ofMillis(2);
+
   private @Nullable Future<?> timeOver;
   private boolean waiting;
   private boolean ended;
@@ -101,7 +108,17 @@
         with.loop()
             .eventLoop()
             .schedule(this::onTimeOver, Math.max(0, leftNanos), TimeUnit.NANOSECONDS);
-    place();
+    if (with.state().behind()) {
+      with.loop().schedule(CLOSE_NOTICED, this::placeIfWanted);
+    } else {
+      place();
+    }
+  }
+
+  private void placeIfWanted() {
+    if (!ended) {
+      place();
+    }
   }
 
   /** Returns whether the request has its final answer. */
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
@@ -0,0 +1,258 @@
+package org.coltsfootvale.router.serving;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.dispatch.PeerPlacements;
+import org.coltsfootvale.core.dispatch.PromptLocations;
+import org.coltsfootvale.core.registry.NewsPace;
+import org.coltsfootvale.core.registry.RelayTopology;
+import org.coltsfootvale.core.registry.RouterRegistry;
+import org.coltsfootvale.core.store.PrefixFollower;
+import org.coltsfootvale.core.support.RendezvousHashing;
+import org.coltsfootvale.protocol.wire.ServingNews;
+
+/**
+ * The news that a router tells, for itself, its data centre or the fleet, and what it takes from
+ * those of others. Confined to the serving loop.
+ */
+final class FleetBulletin {
+
+  /** How many messages name the routers once that the sender speaks for, unless these change. */
+  private static final int ROUTERS_EVERY = 5;
+
+  private final RouterRegistry registry;
+  private final RelayTopology topology;
+  private final ServingState state;
+  private final PromptLocations locations;
+  private final PeerPlacements placements;
+  private final List<PrefixFollower> followers;
+  private final LongSupplier nanoTime;
+  private final Map<String, Speaker> speakers = new HashMap<>();
+  private final List<PromptLocations.Placed> ownParts = new ArrayList<>();
+  private final List<PromptLocations.Placed> reportedParts = new ArrayList<>();
+  private final List<PromptLocations.Placed> relayedParts = new ArrayList<>();
+  private Map<Long, Integer> toldInFlight = Map.of();
+  private final Map<ServingNews.Scope, Set<Long>> toldRouters =
+      new EnumMap<>(ServingNews.Scope.class);
+  private boolean late;
+  private long round;
+
+  FleetBulletin(
+      RouterRegistry registry,
+      RelayTopology topology,
+      ServingState state,
+      PromptLocations locations,
+      PeerPlacements placements,
+      List<PrefixFollower> followers,
+      LongSupplier nanoTime) {
+    this.registry = registry;
+    this.topology = topology;
+    this.state = state;
+    this.locations = locations;
+    this.placements = placements;
+    this.followers = followers;
+    this.nanoTime = nanoTime;
+  }
+
+  /** Takes news of another router. */
+  void heard(String peer, ServingNews news) {
+    takeParts(news);
+    boolean ownRelay = topology.relay().filter(relay -> relay.id().equals(peer)).isPresent();
+    if (news.getScope() == ServingNews.Scope.FLEET && !ownRelay) {
+      // Its sums hold what this router's relay tells already.
+      placements.forget(peer);
+      return;
+    }
+    Map<Long, Integer> inFlight = inFlightOf(news);
+    if (news.getScope() == ServingNews.Scope.FLEET) {
+      toldInFlight.forEach((replica, count) -> inFlight.merge(replica, -count, Integer::sum));
+      inFlight.values().removeIf(count -> count <= 0);
+    }
+    placements.heard(peer, inFlight);
+    passOn(news);
+    Speaker known = speakers.get(peer);
+    Set<Long> routers =
+        news.getRoutersCount() > 0 || known == null
+            ? Set.copyOf(news.getRoutersList())
+            : known.routers();
+    speakers.put(
+        peer,
+        new Speaker(
+            news.getScope(),
+            routers,
+            Set.copyOf(news.getLateRoutersList()),
+            news.getStoreCurrent(),
+            nanoTime.getAsLong()));
+  }
+
+  private static Map<Long, Integer> inFlightOf(ServingNews news) {
+    Map<Long, Integer> inFlight = new HashMap<>();
+    for (int i = 0; i < Math.min(news.getReplicasCount(), news.getInFlightCount()); i++) {
+      inFlight.put(news.getReplicas(i), news.getInFlight(i));
+    }
+    return inFlight;
+  }
+
+  /** Learns where parts of prompts are. */
+  void takeParts(ServingNews news) {
+    partsOf(news).forEach(locations::heard);
+  }
+
+  private void passOn(ServingNews news) {
+    if (news.getScope() == ServingNews.Scope.ROUTER && !topology.direct()) {
+      reportedParts.addAll(partsOf(news));
+    } else if (news.getScope() == ServingNews.Scope.DATA_CENTRE) {
+      relayedParts.addAll(partsOf(news));
+    }
+  }
+
+  private static List<PromptLocations.Placed> partsOf(ServingNews news) {
+    List<PromptLocations.Placed> parts = new ArrayList<>();
+    for (int i = 0; i < Math.min(news.getPartsCount(), news.getPartReplicasCount()); i++) {
+      parts.add(new PromptLocations.Placed(news.getParts(i), news.getPartReplicas(i)));
+    }
+    return parts;
+  }
+
+  /** Takes parts that this router has placed. */
+  void addParts(List<PromptLocations.Placed> placed) {
+    ownParts.addAll(placed);
+  }
+
+  /** Takes note whether this router is late with its work and should get no further callers. */
+  void late(boolean isLate) {
+    late = isLate;
+  }
+
+  /** Forgets routers that have fallen silent. */
+  void expire() {
+    long lifeNanos = NewsPace.life(topology.neighbours()).toNanos();
+    long now = nanoTime.getAsLong();
+    speakers.values().removeIf(speaker -> now - speaker.heardNanos() > lifeNanos);
+  }
+
+  /** Returns whether a router tells this one its own news. */
+  boolean reports(String routerId) {
+    Speaker speaker = speakers.get(routerId);
+    return speaker != null && speaker.scope() == ServingNews.Scope.ROUTER;
+  }
+
+  /** Returns the ids of the other routers that are heard, directly or through a relay. */
+  Set<String> heardIds() {
+    Set<String> ids = new HashSet<>(speakers.keySet());
+    speakers.values().forEach(speaker -> ids.addAll(idsOf(speaker.routers())));
+    ids.remove(registry.self().id());
+    return ids;
+  }
+
+  /** Returns the ids of the routers that are late with their work, this one included. */
+  Set<String> lateIds() {
+    Set<String> ids = new HashSet<>();
+    speakers.values().forEach(speaker -> ids.addAll(idsOf(speaker.lateRouters())));
+    ids.remove(registry.self().id());
+    if (late) {
+      ids.add(registry.self().id());
+    }
+    return ids;
+  }
+
+  private Set<String> idsOf(Set<Long> hashes) {
+    Set<String> ids = new HashSet<>();
+    hashes.forEach(hash -> registry.idOf(hash).ifPresent(ids::add));
+    return ids;
+  }
+
+  /** Returns the news of this router alone. */
+  ServingNews ofThisRouter(Set<String> leaving) {
+    toldInFlight = state.inFlightByReplica();
+    return news(ServingNews.Scope.ROUTER, leaving, toldInFlight, ownParts)
+        .addAllLateRouters(late ? Set.of(RendezvousHashing.hash(registry.self().id())) : Set.of())
+        .setStoreCurrent(current())
+        .build();
+  }
+
+  /** Returns the news of this router and of those that report to it. */
+  ServingNews ofDataCentre(Set<String> leaving) {
+    Map<Long, Integer> inFlight = state.inFlightByReplica();
+    Set<String> routers = new HashSet<>();
+    for (String id : speakers.keySet()) {
+      if (reports(id)) {
+        routers.add(id);
+        placements
+            .inFlightOf(id)
+            .forEach((replica, count) -> inFlight.merge(replica, count, Integer::sum));
+      }
+    }
+    List<PromptLocations.Placed> parts = new ArrayList<>(ownParts);
+    parts.addAll(reportedParts);
+    ServingNews.Builder news = news(ServingNews.Scope.DATA_CENTRE, leaving, inFlight, parts);
+    return nameRouters(news, routers).setStoreCurrent(current()).build();
+  }
+
+  /** Returns the news of all routers that this one knows of. */
+  ServingNews ofFleet(Set<String> leaving) {
+    Map<Long, Integer> inFlight = state.inFlightByReplica();
+    placements.inFlight().forEach((replica, count) -> inFlight.merge(replica, count, Integer::sum));
+    List<PromptLocations.Placed> parts = new ArrayList<>(ownParts);
+    parts.addAll(reportedParts);
+    parts.addAll(relayedParts);
+    ServingNews.Builder news = news(ServingNews.Scope.FLEET, leaving, inFlight, parts);
+    return nameRouters(news, heardIds()).setStoreCurrent(current() || relayCurrent()).build();
+  }
+
+  private boolean relayCurrent() {
+    return speakers.values().stream()
+        .anyMatch(speaker -> speaker.scope() != ServingNews.Scope.ROUTER && speaker.storeCurrent());
+  }
+
+  /** Takes note that all news have been sent. */
+  void told() {
+    ownParts.clear();
+    reportedParts.clear();
+    relayedParts.clear();
+    round++;
+  }
+
+  private ServingNews.Builder news(
+      ServingNews.Scope scope,
+      Set<String> leaving,
+      Map<Long, Integer> inFlight,
+      List<PromptLocations.Placed> parts) {
+    ServingNews.Builder news = ServingNews.newBuilder().setScope(scope);
+    inFlight.forEach((replica, count) -> news.addReplicas(replica).addInFlight(count));
+    parts.forEach(placed -> news.addParts(placed.part()).addPartReplicas(placed.cache()));
+    followers.forEach(follower -> news.addPrefixChanges(follower.latestChange()));
+    return news.addAllLeaving(leaving);
+  }
+
+  /** Names the routers that a message speaks for, now and then only, as they seldom change. */
+  private ServingNews.Builder nameRouters(ServingNews.Builder news, Set<String> others) {
+    Set<Long> routers = new HashSet<>();
+    routers.add(RendezvousHashing.hash(registry.self().id()));
+    others.forEach(id -> routers.add(RendezvousHashing.hash(id)));
+    if (round % ROUTERS_EVERY == 0 || !routers.equals(toldRouters.get(news.getScope()))) {
+      toldRouters.put(news.getScope(), routers);
+      news.addAllRouters(routers);
+    }
+    lateIds().forEach(id -> news.addLateRouters(RendezvousHashing.hash(id)));
+    return news;
+  }
+
+  private boolean current() {
+    return followers.stream().allMatch(follower -> follower.reading() && follower.current());
+  }
+
+  /** What a router has told last. */
+  private record Speaker(
+      ServingNews.Scope scope,
+      Set<Long> routers,
+      Set<Long> lateRouters,
+      boolean storeCurrent,
+      long heardNanos) {}
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -1,7 +1,6 @@
 package org.coltsfootvale.router.serving;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.protobuf.ByteString;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -10,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
@@ -20,13 +20,16 @@
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.model.RouterId;
 import org.coltsfootvale.core.model.RouterIncarnation;
+import org.coltsfootvale.core.registry.NewsPace;
+import org.coltsfootvale.core.registry.ReaderRole;
+import org.coltsfootvale.core.registry.RelayTopology;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.store.PrefixFollower;
+import org.coltsfootvale.core.store.PrefixUpdate;
 import org.coltsfootvale.core.store.RevisionLag;
-import org.coltsfootvale.core.store.StoreEntry;
 import org.coltsfootvale.core.support.Service;
 import org.coltsfootvale.protocol.ForwardResponder;
 import org.coltsfootvale.protocol.NettyPeerTransport;
@@ -41,7 +44,7 @@
 import org.coltsfootvale.protocol.wire.NotesReply;
 import org.coltsfootvale.protocol.wire.NotesRequest;
 import org.coltsfootvale.protocol.wire.PlacementsRequest;
-import org.coltsfootvale.protocol.wire.PrefixEntry;
+import org.coltsfootvale.protocol.wire.PrefixChanges;
 import org.coltsfootvale.protocol.wire.PrefixReply;
 import org.coltsfootvale.protocol.wire.PrefixRequest;
 import org.coltsfootvale.protocol.wire.ServingNews;
@@ -50,8 +53,9 @@
 
 /**
  * What the routers of a fleet tell each other: their requests at each replica, where they have
- * placed parts of prompts, and which replicas leave. A router that cannot read the store asks
- * another one for what that one knows. Confined to the serving loop.
+ * placed parts of prompts, and which replicas leave. In a large fleet they tell a relay, which also
+ * follows the store for them. A router that cannot read the store asks another one for what that
+ * one knows. Confined to the serving loop.
  */
 final class FleetExchange implements PeerHandler, Service {
 
@@ -72,7 +76,6 @@
   private static final int TELLERS = 2;
 
   private final RouterRegistry registry;
-  private final ServingState state;
   private final PromptLocations locations;
   private final PeerPlacements placements;
   private final ReplicaTable replicas;
@@ -84,6 +87,10 @@
   private final PeerTransport transport;
   private final Map<String, Long> departures = new HashMap<>();
   private final List<RevisionLag> lags = new ArrayList<>();
+  private final RelayTopology topology;
+  private final ReaderRole reader;
+  private final FleetBulletin bulletin;
+  private boolean learning;
   private boolean placementsAsked;
   private int asking;
 
@@ -91,6 +98,7 @@
       EntrySettings settings,
       ServingLoop loop,
       RouterRegistry registry,
+      RelayTopology topology,
       ServingState state,
       PromptLocations locations,
       PeerPlacements placements,
@@ -100,7 +108,6 @@
       InstantSource clock,
       LongSupplier nanoTime) {
     this.registry = registry;
-    this.state = state;
     this.locations = locations;
     this.placements = placements;
     this.replicas = replicas;
@@ -110,6 +117,12 @@
     this.self = settings.peerAddress();
     this.random = random;
     this.clock = clock;
+    this.topology = topology;
+    this.reader = new ReaderRole(topology, nanoTime);
+    this.bulletin =
+        new FleetBulletin(
+            registry, topology, state, locations, placements, this.followers, nanoTime);
+    followers.forEach(follower -> follower.onUpdate(this::passOn));
     this.transport =
         new NettyPeerTransport(
             new RouterIncarnation(new RouterId(settings.id()), Math.max(1, clock.millis())),
@@ -136,26 +149,112 @@
     departures.put(replica.id(), clock.millis() + DEPARTURE_TOLD.toMillis());
   }
 
-  /** Sends the news since the last call to all other routers. */
-  void tell() {
+  /** Sends the news since the last call; returns the pause until the next ones. */
+  Duration tell() {
     placements.expire();
+    bulletin.expire();
     departures.values().removeIf(until -> until < clock.millis());
-    Envelope message = Envelope.newBuilder().setServingNews(news()).build();
-    for (RouterAdvertisement peer : registry.peers()) {
-      transport.send(peer.peerAddress(), message);
+    followStore();
+    bulletin.addParts(locations.drainNews());
+    if (topology.direct()) {
+      send(registry.peers(), bulletin.ofThisRouter(departures.keySet()));
+    } else {
+      tellThroughRelays();
     }
+    bulletin.told();
+    return NewsPace.pause(topology.neighbours());
   }
 
-  private ServingNews news() {
-    ServingNews.Builder news = ServingNews.newBuilder();
-    state
-        .inFlightByReplica()
-        .forEach((replica, inFlight) -> news.addReplicas(replica).addInFlight(inFlight));
-    for (PromptLocations.Placed placed : locations.drainNews()) {
-      news.addParts(placed.part()).addPartReplicas(placed.cache());
+  private void tellThroughRelays() {
+    Optional<RouterAdvertisement> relay = topology.relay();
+    if (relay.isPresent()) {
+      topology.told(relay.get());
+      send(List.of(relay.get()), bulletin.ofThisRouter(departures.keySet()));
+    } else {
+      List<RouterAdvertisement> others = topology.relaysElsewhere();
+      others.forEach(topology::told);
+      send(others, bulletin.ofDataCentre(departures.keySet()));
+    }
+    List<RouterAdvertisement> reporters = reporters();
+    if (!reporters.isEmpty()) {
+      send(reporters, bulletin.ofFleet(departures.keySet()));
+    }
+  }
+
+  private void send(List<RouterAdvertisement> receivers, ServingNews news) {
+    Envelope message = Envelope.newBuilder().setServingNews(news).build();
+    receivers.forEach(receiver -> transport.send(receiver.peerAddress(), message));
+  }
+
+  /** Returns the routers that tell this one their own news, in a fleet that has relays. */
+  private List<RouterAdvertisement> reporters() {
+    return registry.peers().stream().filter(peer -> bulletin.reports(peer.id())).toList();
+  }
+
+  /** Calls the store for changes, or leaves that to a relay. */
+  private void followStore() {
+    boolean reads = reader.reads(placements.peers() > 0);
+    followers.forEach(follower -> follower.follow(reads));
+  }
+
+  /** Passes on what this router has learnt of the store to those that leave the store to it. */
+  private void passOn(PrefixUpdate update) {
+    if (topology.direct()) {
+      return;
+    }
+    List<RouterAdvertisement> receivers = new ArrayList<>(reporters());
+    if (!learning) {
+      // What another relay has told it tells the others itself.
+      topology
+          .relay()
+          .ifPresentOrElse(
+              relay -> {
+                if (reader.passesOn()) {
+                  receivers.add(relay);
+                }
+              },
+              () -> receivers.addAll(topology.relaysElsewhere()));
+    }
+    if (!receivers.isEmpty()) {
+      Envelope message =
+          Envelope.newBuilder().setPrefixChanges(PrefixMessages.changes(update)).build();
+      receivers.forEach(receiver -> transport.send(receiver.peerAddress(), message));
     }
-    followers.forEach(follower -> news.addPrefixChanges(follower.latestChange()));
-    return news.addAllLeaving(departures.keySet()).build();
+  }
+
+  @Override
+  public void onPrefixChanges(RouterIncarnation from, PrefixChanges changes) {
+    for (PrefixFollower follower : followers) {
+      if (follower.prefix().equals(changes.getPrefix())) {
+        learning = true;
+        boolean complete = follower.learn(PrefixMessages.update(changes));
+        learning = false;
+        if (!complete) {
+          find(from).ifPresent(peer -> ask(peer.peerAddress(), follower));
+        }
+      }
+    }
+  }
+
+  private Optional<RouterAdvertisement> find(RouterIncarnation router) {
+    return registry.peers().stream()
+        .filter(peer -> peer.id().equals(router.id().value()))
+        .findFirst();
+  }
+
+  /** Returns the ids of the other routers that are heard, directly or through a relay. */
+  Set<String> heardIds() {
+    return bulletin.heardIds();
+  }
+
+  /** Returns the ids of the routers that should get no further callers at present. */
+  Set<String> lateIds() {
+    return bulletin.lateIds();
+  }
+
+  /** Takes note whether this router is late with its work. */
+  void late(boolean isLate) {
+    bulletin.late(isLate);
   }
 
   /** Asks another router for what the store does not tell. */
@@ -204,14 +303,10 @@
                 });
   }
 
-  private static void learn(PrefixFollower follower, PrefixReply reply) {
-    List<StoreEntry> entries = new ArrayList<>(reply.getEntriesCount());
-    for (PrefixEntry entry : reply.getEntriesList()) {
-      entries.add(
-          new StoreEntry(
-              entry.getKey(), Optional.of(entry.getValue().toByteArray()), entry.getRevision()));
-    }
-    follower.learn(entries, reply.getRevision());
+  private void learn(PrefixFollower follower, PrefixReply reply) {
+    learning = true;
+    follower.learn(PrefixMessages.entries(reply.getEntriesList()), reply.getRevision());
+    learning = false;
   }
 
   @Override
@@ -220,13 +315,7 @@
     for (PrefixFollower follower : followers) {
       if (follower.prefix().equals(request.getPrefix())) {
         reply.setRevision(follower.knownRevision());
-        for (StoreEntry entry : follower.known()) {
-          reply.addEntries(
-              PrefixEntry.newBuilder()
-                  .setKey(entry.key())
-                  .setValue(ByteString.copyFrom(entry.value().orElse(new byte[0])))
-                  .setRevision(entry.revision()));
-        }
+        follower.known().forEach(entry -> reply.addEntries(PrefixMessages.entry(entry)));
       }
     }
     return reply.build();
@@ -234,35 +323,26 @@
 
   @Override
   public void onServingNews(RouterIncarnation from, ServingNews news) {
-    Map<Long, Integer> inFlight = new HashMap<>();
-    for (int i = 0; i < Math.min(news.getReplicasCount(), news.getInFlightCount()); i++) {
-      inFlight.put(news.getReplicas(i), news.getInFlight(i));
+    String peer = from.id().value();
+    topology.heard(peer);
+    if (news.getStoreCurrent() && news.getScope() != ServingNews.Scope.ROUTER) {
+      reader.heardCurrent();
     }
-    placements.heard(from.id().value(), inFlight);
-    takeParts(news);
+    bulletin.heard(peer, news);
     news.getLeavingList().forEach(replicas::leaves);
-    askWhatIsMissing(from.id().value(), news.getPrefixChangesList());
+    askWhatIsMissing(from, news.getPrefixChangesList());
   }
 
   /** Asks a router for changes that it has seen and that do not arrive here. */
-  private void askWhatIsMissing(String routerId, List<Long> changes) {
+  private void askWhatIsMissing(RouterIncarnation from, List<Long> changes) {
     for (int i = 0; i < Math.min(followers.size(), changes.size()); i++) {
       PrefixFollower follower = followers.get(i);
       if (lags.get(i).heard(changes.get(i), follower.knownRevision())) {
-        registry.peers().stream()
-            .filter(peer -> peer.id().equals(routerId))
-            .findFirst()
-            .ifPresent(peer -> ask(peer.peerAddress(), follower));
+        find(from).ifPresent(peer -> ask(peer.peerAddress(), follower));
       }
     }
   }
 
-  private void takeParts(ServingNews news) {
-    for (int i = 0; i < Math.min(news.getPartsCount(), news.getPartReplicasCount()); i++) {
-      locations.heard(new PromptLocations.Placed(news.getParts(i), news.getPartReplicas(i)));
-    }
-  }
-
   /** Asks a few other routers, once after the start, where parts of prompts are. */
   void askPlacements() {
     if (placementsAsked) {
@@ -283,7 +363,7 @@
               .whenComplete(
                   (reply, failure) -> {
                     if (failure == null) {
-                      takeParts(reply.getServingNews());
+                      bulletin.takeParts(reply.getServingNews());
                     } else {
                       LOGGER.atFine().log(
                           "%s does not tell of placements: %s",
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/PrefixMessages.java
@@ -0,0 +1,88 @@
+package org.coltsfootvale.router.serving;
+
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+import org.coltsfootvale.core.store.PrefixUpdate;
+import org.coltsfootvale.core.store.StoreEntry;
+import org.coltsfootvale.protocol.wire.PrefixChanges;
+import org.coltsfootvale.protocol.wire.PrefixEntry;
+
+/** Entries of the store in messages between routers; large values travel compressed. */
+final class PrefixMessages {
+
+  /** A relay sends a desired state to all routers of its data centre at once, on a narrow link. */
+  private static final int COMPRESSED_BYTES_MIN = 8 * 1024;
+
+  private PrefixMessages() {}
+
+  static PrefixChanges changes(PrefixUpdate update) {
+    PrefixChanges.Builder changes =
+        PrefixChanges.newBuilder()
+            .setPrefix(update.prefix())
+            .setBaseRevision(update.baseRevision())
+            .setRevision(update.revision())
+            .setStoreReturned(update.storeReturned());
+    update.entries().forEach(entry -> changes.addEntries(entry(entry)));
+    return changes.build();
+  }
+
+  static PrefixUpdate update(PrefixChanges changes) {
+    return new PrefixUpdate(
+        changes.getPrefix(),
+        changes.getBaseRevision(),
+        changes.getRevision(),
+        entries(changes.getEntriesList()),
+        changes.getStoreReturned());
+  }
+
+  static PrefixEntry entry(StoreEntry entry) {
+    PrefixEntry.Builder message =
+        PrefixEntry.newBuilder().setKey(entry.key()).setRevision(entry.revision());
+    if (entry.value().isEmpty()) {
+      return message.setDeleted(true).build();
+    }
+    byte[] value = entry.value().get();
+    if (value.length >= COMPRESSED_BYTES_MIN) {
+      return message.setCompressed(true).setValue(compressed(value)).build();
+    }
+    return message.setValue(ByteString.copyFrom(value)).build();
+  }
+
+  static List<StoreEntry> entries(List<PrefixEntry> messages) {
+    List<StoreEntry> entries = new ArrayList<>(messages.size());
+    for (PrefixEntry message : messages) {
+      Optional<byte[]> value =
+          message.getDeleted() ? Optional.empty() : Optional.of(valueOf(message));
+      entries.add(new StoreEntry(message.getKey(), value, message.getRevision()));
+    }
+    return entries;
+  }
+
+  private static byte[] valueOf(PrefixEntry message) {
+    if (!message.getCompressed()) {
+      return message.getValue().toByteArray();
+    }
+    try (InflaterInputStream inflated = new InflaterInputStream(message.getValue().newInput())) {
+      return inflated.readAllBytes();
+    } catch (IOException e) {
+      throw new UncheckedIOException("a value of " + message.getKey() + " is damaged", e);
+    }
+  }
+
+  private static ByteString compressed(byte[] value) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (DeflaterOutputStream deflated = new DeflaterOutputStream(bytes)) {
+      deflated.write(value);
+    } catch (IOException e) {
+      throw new UncheckedIOException("bytes in memory could not be written", e);
+    }
+    return ByteString.copyFrom(bytes.toByteArray());
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
@@ -17,6 +17,7 @@
 import org.coltsfootvale.core.dispatch.PromptLocations;
 import org.coltsfootvale.core.dispatch.ReplicaState;
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
+import org.coltsfootvale.core.registry.Lateness;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.routing.RoutedService;
@@ -44,6 +45,7 @@
   private final LongSupplier nanoTime;
   private final UniformRandomProvider random;
   private final DecisionLog log;
+  private final Lateness lateness;
   private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
   private Optional<RoutingState> routing = Optional.empty();
   private long desiredStateNanos;
@@ -60,6 +62,7 @@
    * @param nanoTime the monotonic clock in nanoseconds
    * @param random breaks ties
    * @param log takes changes of belief
+   * @param lateness whether this router is late with its work
    */
   public ServingState(
       DispatchOptions options,
@@ -68,7 +71,8 @@
       PeerPlacements peers,
       LongSupplier nanoTime,
       UniformRandomProvider random,
-      DecisionLog log) {
+      DecisionLog log,
+      Lateness lateness) {
     this.options = options;
     this.ownDataCentre = ownDataCentre;
     this.locations = locations;
@@ -76,6 +80,7 @@
     this.nanoTime = nanoTime;
     this.random = random;
     this.log = log;
+    this.lateness = lateness;
   }
 
   /**
@@ -195,6 +200,11 @@
     return draining;
   }
 
+  /** Returns whether requests may have waited unread, so that their callers may have left. */
+  boolean behind() {
+    return lateness.behind();
+  }
+
   /** Counts a request that has begun. */
   void requestBegun() {
     active++;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreFollowers.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreFollowers.java
@@ -20,11 +20,20 @@
   private static final Duration CHANGES_WAIT = Duration.ofSeconds(15);
 
   /**
-   * Replicas and routers come and go in groups, so that one call brings several changes; short
-   * beside the two seconds within which a departure has to take effect.
+   * Replicas come and go in groups, so that one call brings several changes; short beside the two
+   * seconds within which a departure has to take effect.
    */
   private static final Duration SETTLE = Duration.ofMillis(250);
 
+  /**
+   * Routers advertise themselves in groups, above all when a fleet starts; whether one is alive is
+   * told by its news and not by its entry.
+   */
+  private static final Duration ROUTERS_SETTLE = Duration.ofSeconds(1);
+
+  /** How long a router that has read everything listens for one that reads the changes for it. */
+  private static final Duration FIRST_WAIT = Duration.ofMillis(400);
+
   private final RevisionedStore store;
   private final ServingLoop loop;
   private final DoubleSupplier random;
@@ -42,13 +51,18 @@
     return follow(key, listener, PROBING_WAIT, Duration.ZERO);
   }
 
-  /** Creates a follower of entries that come and go in groups. */
-  PrefixFollower entries(String prefix, PrefixFollower.Listener listener) {
+  /** Creates a follower of the entries of replicas. */
+  PrefixFollower replicas(String prefix, PrefixFollower.Listener listener) {
     return follow(prefix, listener, CHANGES_WAIT, SETTLE);
   }
 
+  /** Creates a follower of the advertisements of routers. */
+  PrefixFollower routers(String prefix, PrefixFollower.Listener listener) {
+    return follow(prefix, listener, CHANGES_WAIT, ROUTERS_SETTLE);
+  }
+
   private PrefixFollower follow(
       String prefix, PrefixFollower.Listener listener, Duration wait, Duration settle) {
-    return new PrefixFollower(store, prefix, listener, wait, settle, loop, random, log);
+    return new PrefixFollower(store, prefix, listener, wait, settle, FIRST_WAIT, loop, random, log);
   }
 }
