Leave the listing of caches to relays; read ids of events without a pattern

Ruled out: status checks, which this product does not make. Besides, each event of a stream compiled a pattern to find its id, and was flushed by itself.

Change: where there are relays, they alone list caches, shared out among them, and tell a router all that they know when it begins to report. Ids are found in the bytes, for streams that can be resumed only.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
@@ -16,8 +16,9 @@
  * Decides which replicas a router that has just started asks for the parts that they hold, and when
  * it knows enough to take callers. Other routers tell what they know; after a loss of all routers
  * each replica is asked by the router that ranks first for it: first among the advertised routers,
- * then among those that are heard, as others may still be starting, and at last by anyone. Confined
- * to one thread.
+ * then among those that are heard, as others may still be starting, and at last by anyone. In a
+ * fleet that has relays these alone ask, as each list delays the work of its replica. Confined to
+ * one thread.
  */
 public final class CacheCensus {
 
@@ -67,15 +68,11 @@
       Collection<String> advertisedIds,
       Collection<String> heardIds,
       List<Replica> engines) {
-    long now = nanoTime.getAsLong();
-    if (!begun) {
-      begun = true;
-      begunNanos = now;
-      finished = firstStart;
-    }
+    begin();
     if (finished) {
       return List.of();
     }
+    long now = nanoTime.getAsLong();
     List<Replica> unknown = unknown(engines);
     Optional<Long> self = Optional.of(RendezvousHashing.hash(routerId));
     Set<Long> askers = hashes(askers(routerId, advertisedIds, heardIds, now - begunNanos));
@@ -89,11 +86,36 @@
     asked.addAll(due);
     unanswered += due.size();
     boolean allAsked = due.size() == unknown.size();
-    finished = (allAsked && unanswered <= 0) || now - begunNanos >= WAIT_MAX.toNanos();
-    locations.complete(finished);
+    finish(allAsked && unanswered <= 0);
     return due;
   }
 
+  /**
+   * Leaves the asking to other routers, which tell what they learn. To be called again and again
+   * like {@link #due}.
+   *
+   * @param engines the replicas that have a cache
+   */
+  public void leaveToOthers(List<Replica> engines) {
+    begin();
+    if (!finished) {
+      finish(unknown(engines).isEmpty());
+    }
+  }
+
+  private void begin() {
+    if (!begun) {
+      begun = true;
+      begunNanos = nanoTime.getAsLong();
+      finished = firstStart;
+    }
+  }
+
+  private void finish(boolean allKnown) {
+    finished = allKnown || nanoTime.getAsLong() - begunNanos >= WAIT_MAX.toNanos();
+    locations.complete(finished);
+  }
+
   /** Takes note that a replica has answered, or that it does not. */
   public void answered() {
     unanswered--;
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/CacheCensusTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/CacheCensusTest.java
@@ -121,6 +121,25 @@
     assertEquals(census.due("a", List.of("a"), NONE, engines()), List.of());
   }
 
+  @Test
+  public void aRouterThatLeavesTheAskingToRelaysIsReadyOnceTheyHaveToldOfAllCaches() {
+    CacheCensus census = new CacheCensus(false, locations, now::get);
+    census.leaveToOthers(engines());
+    assertFalse(census.finished());
+    engines().forEach(engine -> locations.heard(cacheOf(engine)));
+    census.leaveToOthers(engines());
+    assertTrue(census.finished());
+  }
+
+  @Test
+  public void aRouterThatLeavesTheAskingToRelaysDoesNotWaitForLong() {
+    CacheCensus census = new CacheCensus(false, locations, now::get);
+    census.leaveToOthers(engines());
+    pass(1_000);
+    census.leaveToOthers(engines());
+    assertTrue(census.finished());
+  }
+
   private void pass(long millis) {
     now.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -213,6 +213,7 @@
       deliverPart(part);
       part = answer.nextPart();
     }
+    caller.flush();
   }
 
   private void deliverPart(ByteBuf part) {
@@ -221,7 +222,7 @@
       replica.started(exchange);
     }
     boolean first = !course.answerBegun();
-    if (answer.byEvents() && repeated(part)) {
+    if (course.route().resumable() && repeated(part)) {
       return;
     }
     if (first && head != null) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CacheInspection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CacheInspection.java
@@ -1,5 +1,6 @@
 package org.coltsfootvale.router.serving;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -9,6 +10,7 @@
 import org.coltsfootvale.core.dispatch.CacheCensus;
 import org.coltsfootvale.core.dispatch.PromptLocations;
 import org.coltsfootvale.core.error.Failures;
+import org.coltsfootvale.core.registry.RelayTopology;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.replica.Replica;
@@ -19,6 +21,7 @@
   private final String routerId;
   private final CacheCensus census;
   private final RouterRegistry registry;
+  private final RelayTopology topology;
   private final Supplier<Set<String>> heardIds;
   private final ServingState state;
   private final PromptLocations locations;
@@ -29,6 +32,7 @@
       String routerId,
       CacheCensus census,
       RouterRegistry registry,
+      RelayTopology topology,
       Supplier<Set<String>> heardIds,
       ServingState state,
       PromptLocations locations,
@@ -37,6 +41,7 @@
     this.routerId = routerId;
     this.census = census;
     this.registry = registry;
+    this.topology = topology;
     this.heardIds = heardIds;
     this.state = state;
     this.locations = locations;
@@ -54,9 +59,21 @@
     if (census.finished()) {
       return;
     }
-    List<String> advertised = registry.routers().stream().map(RouterAdvertisement::id).toList();
-    List<Replica> due = census.due(routerId, advertised, heardIds.get(), state.engines());
-    due.forEach(this::ask);
+    if (topology.direct()) {
+      ask(registry.routers(), heardIds.get());
+    } else if (topology.relay().isEmpty()) {
+      List<RouterAdvertisement> relays = topology.relaysElsewhere();
+      Set<String> heard = new HashSet<>(heardIds.get());
+      heard.retainAll(relays.stream().map(RouterAdvertisement::id).toList());
+      ask(relays, heard);
+    } else {
+      census.leaveToOthers(state.engines());
+    }
+  }
+
+  private void ask(List<RouterAdvertisement> askers, Set<String> heard) {
+    List<String> advertised = askers.stream().map(RouterAdvertisement::id).toList();
+    census.due(routerId, advertised, heard, state.engines()).forEach(this::ask);
   }
 
   private void ask(Replica engine) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
@@ -175,9 +175,14 @@
     context().write(head);
   }
 
-  /** Writes a part of a body. */
+  /** Writes a part of a body, to be sent with the next flush. */
   void writeContent(ByteBuf content) {
-    context().writeAndFlush(new DefaultHttpContent(content));
+    context().write(new DefaultHttpContent(content));
+  }
+
+  /** Sends what was written. */
+  void flush() {
+    context().flush();
   }
 
   /** Ends an answer that was written in parts. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -168,6 +168,7 @@
             settings.id(),
             census,
             registry,
+            topology,
             exchange::heardIds,
             state,
             locations,
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EventSplitter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EventSplitter.java
@@ -11,7 +11,7 @@
   private static final byte LINE_FEED = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
   private static final byte COLON = ':';
-  private static final String ID_FIELD = "id:";
+  private static final byte[] ID_FIELD = {'i', 'd', COLON};
 
   private final ByteBuf pending = Unpooled.buffer();
 
@@ -103,14 +103,32 @@
 
   /** Reads the id of an event, if it has one that is a number. */
   static OptionalLong idOf(ByteBuf event) {
-    for (String line : event.toString(StandardCharsets.UTF_8).split("\r?\n")) {
-      if (line.startsWith(ID_FIELD)) {
-        return parse(line.substring(ID_FIELD.length()).strip());
+    int lineStart = event.readerIndex();
+    int end = event.writerIndex();
+    while (lineStart < end) {
+      int found = event.indexOf(lineStart, end, LINE_FEED);
+      int lineEnd = found < 0 ? end : found;
+      if (isId(event, lineStart, lineEnd)) {
+        int from = lineStart + ID_FIELD.length;
+        return parse(event.toString(from, lineEnd - from, StandardCharsets.UTF_8).strip());
       }
+      lineStart = lineEnd + 1;
     }
     return OptionalLong.empty();
   }
 
+  private static boolean isId(ByteBuf event, int lineStart, int lineEnd) {
+    if (lineEnd - lineStart < ID_FIELD.length) {
+      return false;
+    }
+    for (int i = 0; i < ID_FIELD.length; i++) {
+      if (event.getByte(lineStart + i) != ID_FIELD[i]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private static OptionalLong parse(String text) {
     try {
       return OptionalLong.of(Long.parseLong(text));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
@@ -197,11 +197,20 @@
 
   /** Returns the news of all routers that this one knows of. */
   ServingNews ofFleet(Set<String> leaving) {
-    Map<Long, Integer> inFlight = state.inFlightByReplica();
-    placements.inFlight().forEach((replica, count) -> inFlight.merge(replica, count, Integer::sum));
     List<PromptLocations.Placed> parts = new ArrayList<>(ownParts);
     parts.addAll(reportedParts);
     parts.addAll(relayedParts);
+    return ofFleet(leaving, parts);
+  }
+
+  /** Returns all that this router knows, for one that has just begun to report to it. */
+  ServingNews ofFleetWithAllParts() {
+    return ofFleet(Set.of(), locations.all());
+  }
+
+  private ServingNews ofFleet(Set<String> leaving, List<PromptLocations.Placed> parts) {
+    Map<Long, Integer> inFlight = state.inFlightByReplica();
+    placements.inFlight().forEach((replica, count) -> inFlight.merge(replica, count, Integer::sum));
     ServingNews.Builder news = news(ServingNews.Scope.FLEET, leaving, inFlight, parts);
     return nameRouters(news, heardIds()).setStoreCurrent(current() || relayCurrent()).build();
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -328,7 +328,11 @@
     if (news.getStoreCurrent() && news.getScope() != ServingNews.Scope.ROUTER) {
       reader.heardCurrent();
     }
+    boolean joins = !bulletin.reports(peer);
     bulletin.heard(peer, news);
+    if (joins && bulletin.reports(peer) && !topology.direct()) {
+      find(from).ifPresent(router -> send(List.of(router), bulletin.ofFleetWithAllParts()));
+    }
     news.getLeavingList().forEach(replicas::leaves);
     askWhatIsMissing(from, news.getPrefixChangesList());
   }
@@ -343,9 +347,12 @@
     }
   }
 
-  /** Asks a few other routers, once after the start, where parts of prompts are. */
+  /**
+   * Asks a few other routers, once after the start, where parts of prompts are. A relay tells those
+   * that report to it unasked.
+   */
   void askPlacements() {
-    if (placementsAsked) {
+    if (placementsAsked || (!topology.direct() && topology.relay().isPresent())) {
       return;
     }
     List<HostPort> peers = askable();
