Send fewer callers to routers that have just started

Ruled out: replicas without free places; nothing waited there.

Change: the directory names a router by its capacity and by the time since it was advertised, from a quarter of its callers after the start to all of them after 4 s. Fleets that start together share evenly.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
@@ -115,6 +115,12 @@
     return Optional.ofNullable(idsByHash.get(hash));
   }
 
+  /** Returns the time since a router was advertised, as far as this router has seen. */
+  public Duration ageOf(RouterAdvertisement router) {
+    long now = nanoTime.getAsLong();
+    return Duration.ofNanos(now - advertisedNanosById.getOrDefault(router.id(), now));
+  }
+
   /** Returns this router's advertisement. */
   public RouterAdvertisement self() {
     return self;
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/LatenessTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/LatenessTest.java
@@ -73,7 +73,7 @@
   public void aRouterIsNamedAsOftenAsItsCapacityAllows() {
     RouterAdvertisement large = router("large", 1.5);
     RouterAdvertisement small = router("small", 0.36);
-    List<RouterAdvertisement> named = EntryChoice.byCapacity(List.of(small, large, small), 64);
+    List<RouterAdvertisement> named = named(List.of(small, large, small), 64);
     assertEquals(named, List.of(small, large, large, large, large, small));
   }
 
@@ -81,8 +81,28 @@
   public void aListThatWouldGrowTooLongNamesLargeRoutersLessOften() {
     RouterAdvertisement large = router("large", 1.5);
     RouterAdvertisement small = router("small", 0.36);
-    assertEquals(EntryChoice.byCapacity(List.of(small, large, small), 4).size(), 4);
-    assertEquals(EntryChoice.byCapacity(List.of(small, large, small), 3).size(), 3);
+    assertEquals(named(List.of(small, large, small), 4).size(), 4);
+    assertEquals(named(List.of(small, large, small), 3).size(), 3);
+  }
+
+  @Test
+  public void aRouterThatHasJustStartedGetsFewCallersAndMoreAsItsCodeIsCompiled() {
+    RouterAdvertisement router = router("a", 1);
+    assertEquals(EntryChoice.weight(router, Duration.ZERO), 0.25);
+    assertEquals(EntryChoice.weight(router, Duration.ofSeconds(2)), 0.625);
+    assertEquals(EntryChoice.weight(router, Duration.ofSeconds(60)), 1.0);
+  }
+
+  @Test
+  public void routersThatAllHaveJustStartedShareTheCallersEvenly() {
+    List<RouterAdvertisement> all = List.of(router("a", 1), router("b", 1));
+    List<RouterAdvertisement> named =
+        EntryChoice.byWeight(all, router -> EntryChoice.weight(router, Duration.ZERO), 64);
+    assertEquals(named, all);
+  }
+
+  private static List<RouterAdvertisement> named(List<RouterAdvertisement> routers, int namesMax) {
+    return EntryChoice.byWeight(routers, RouterAdvertisement::capacityCores, namesMax);
   }
 
   private void run(int times, long periodMillis) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryPoints.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryPoints.java
@@ -66,7 +66,10 @@
     List<RouterAdvertisement> local =
         live.stream().filter(router -> router.dataCentre().equals(dataCentre)).toList();
     List<RouterAdvertisement> chosen =
-        EntryChoice.byCapacity(local.size() >= LOCAL_MIN ? local : live, ROUTERS_MAX);
+        EntryChoice.byWeight(
+            local.size() >= LOCAL_MIN ? local : live,
+            router -> EntryChoice.weight(router, registry.ageOf(router)),
+            ROUTERS_MAX);
     // Each answer begins elsewhere, so that callers find all routers of a long list.
     Collections.rotate(chosen, answers++);
     List<HostPort> addresses =
