Check for callers that left right before a send; releases cost the same however much waits

A router that was behind looked for their close 2 ms after the read, but a turn of its loop took longer than that, so that the check ran before the sockets were read again; and the connection to the replica was opened meanwhile. Ruled out: callers whose close had been read.

Change: a router that is behind sends a request only once its sockets have been read anew, checked after the connection stands. ServingLoopTest fails with a delay of 2 ms instead.

Besides, each release of a place looked at all replicas for each request that waits. Now replicas are looked at again only after one has taken a request (OverloadTest: 453 and 4,943 reads of the clock for 450 that wait before, the same for 50 and for 450 after). Callers that are refused are told to return when those ahead of them are served at the present rate, spread over that time, instead of after 150 to 650 ms whatever the load.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/DefaultRepeatBudget.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/DefaultRepeatBudget.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import org.coltsfootvale.core.support.SlidingCount;
 
 /**
  * A router's part of the budget of repeats that all routers share. In each sliding window a router
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
@@ -13,6 +13,9 @@
  */
 final class LeastLoadChoice implements ReplicaChoice {
 
+  /** The requests for each slot up to which a replica takes further ones, which then wait at it. */
+  static final double LOAD_A_SLOT_MAX = 2.0;
+
   /** What crossing to another data centre counts, in slots in use. */
   private static final double CROSSING = 0.04;
 
@@ -49,7 +52,7 @@
       ReplicaState replica = estimate.getKey();
       double load = estimate.getValue();
       int slots = Math.max(1, replica.replica().slots());
-      if (work.avoids(replica) || replica.health().suspended() || load >= 2.0 * slots) {
+      if (work.avoids(replica) || replica.health().suspended() || load >= LOAD_A_SLOT_MAX * slots) {
         continue;
       }
       candidates++;
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
@@ -18,6 +18,9 @@
  */
 final class PromptChoice implements ReplicaChoice {
 
+  /** The requests for each slot up to which a replica takes further ones. */
+  static final double LOAD_A_SLOT_MAX = 1.0;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final DispatchOptions options;
@@ -99,7 +102,7 @@
         .byReplica()
         .forEach(
             (replica, load) -> {
-              boolean full = load >= replica.replica().slots();
+              boolean full = load >= LOAD_A_SLOT_MAX * replica.replica().slots();
               if (!full && !work.avoids(replica) && !replica.health().suspended()) {
                 double rank = RendezvousHashing.score(partHash, replica.nameHash(), 1.0);
                 boolean holds = holders.contains(replica.cacheHash());
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -13,6 +13,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.replica.Replica;
+import org.coltsfootvale.core.support.SlidingCount;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,11 +25,8 @@
   /** The waiting requests that a router holds at most; beyond it the least urgent is refused. */
   private static final int WAITING_MAX = 512;
 
-  /** How long a caller stays away at least after a refusal. */
-  private static final Duration RETRY_AFTER_MIN = Duration.ofMillis(150);
-
-  /** How much longer callers stay away, by chance, so that they do not return together. */
-  private static final Duration RETRY_AFTER_SPREAD = Duration.ofMillis(500);
+  /** The time in which completions are counted, to tell when a place can be expected. */
+  private static final Duration RATE_WINDOW = Duration.ofSeconds(2);
 
   /** How long after its departure a replica still gives its cache to others. */
   private static final Duration DEPARTED_SERVES = Duration.ofSeconds(2);
@@ -38,6 +36,7 @@
           .thenComparingLong(work -> work.arrivedNanos() + work.goalNanos());
 
   private final DispatchOptions options;
+  private final PeerPlacements peers;
   private final LongSupplier nanoTime;
   private final UniformRandomProvider random;
   private final ReplicaChoice promptChoice;
@@ -46,6 +45,7 @@
   private final Map<String, ReplicaState> replicas = new HashMap<>();
   private final Map<Long, Departed> departed = new HashMap<>();
   private final List<Work> waiting = new ArrayList<>();
+  private final SlidingCount completions = new SlidingCount(RATE_WINDOW.toNanos());
 
   /**
    * Creates the dispatcher of a service.
@@ -65,6 +65,7 @@
       LongSupplier nanoTime,
       UniformRandomProvider random) {
     this.options = options;
+    this.peers = peers;
     this.nanoTime = nanoTime;
     this.random = random;
     this.locations = locations;
@@ -131,6 +132,7 @@
   /** Takes note that a replica no longer works on a request. */
   public void release(ReplicaState replica) {
     replica.vacate();
+    completions.add(nanoTime.getAsLong());
     placeWaiting();
   }
 
@@ -145,17 +147,35 @@
       return;
     }
     long now = nanoTime.getAsLong();
-    List<Work> candidates = new ArrayList<>(waiting);
-    for (Work work : candidates) {
-      Placement chosen = choose(work);
+    // Replicas are looked at again only after one has taken a request, not for each that waits.
+    boolean openForPrompts = anyOpen(PromptChoice.LOAD_A_SLOT_MAX);
+    boolean openForOthers = anyOpen(LeastLoadChoice.LOAD_A_SLOT_MAX);
+    for (Work work : new ArrayList<>(waiting)) {
+      boolean open = work.description().prompt().isEmpty() ? openForOthers : openForPrompts;
+      Placement chosen = open ? choose(work) : null;
       if (chosen != null && waiting.remove(work)) {
         place(work, chosen);
+        openForPrompts = anyOpen(PromptChoice.LOAD_A_SLOT_MAX);
+        openForOthers = anyOpen(LeastLoadChoice.LOAD_A_SLOT_MAX);
       } else if (chosen == null && now >= waitEndNanos(work) && waiting.remove(work)) {
         work.onTurnedAway(refusal(work));
       }
     }
   }
 
+  /** Returns whether any replica has less than a load for each of its slots. */
+  private boolean anyOpen(double loadASlotMax) {
+    long now = nanoTime.getAsLong();
+    long reportAgeMaxNanos = options.reportAgeMax().toNanos();
+    for (ReplicaState replica : replicas.values()) {
+      double load = replica.load(peers.inFlightAt(replica.nameHash()), now, reportAgeMaxNanos);
+      if (load < loadASlotMax * Math.max(1, replica.replica().slots())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void enqueue(Work work) {
     int position = waiting.size();
     while (position > 0 && ORDER.compare(work, waiting.get(position - 1)) < 0) {
@@ -246,7 +266,8 @@
 
   /** Returns a time after which a caller that was refused may find a place. */
   public Duration retryAfter() {
-    return RETRY_AFTER_MIN.plusNanos((long) (RETRY_AFTER_SPREAD.toNanos() * random.nextDouble()));
+    long completed = completions.sum(nanoTime.getAsLong());
+    return RetryAdvice.after(waiting.size(), completed, RATE_WINDOW, random.nextDouble());
   }
 
   /** A replica that gets no new work any more. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/SlidingCount.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/SlidingCount.java
@@ -1,7 +1,7 @@
-package org.coltsfootvale.core.course;
+package org.coltsfootvale.core.support;
 
 /** Counts events within a sliding window, to a twentieth of its length. Not thread-safe. */
-final class SlidingCount {
+public final class SlidingCount {
 
   private static final int BUCKETS = 20;
 
@@ -9,19 +9,24 @@
   private final long[] counts = new long[BUCKETS];
   private long newestBucket;
 
-  SlidingCount(long windowNanos) {
+  /**
+   * Creates a count of nothing.
+   *
+   * @param windowNanos the length of the window
+   */
+  public SlidingCount(long windowNanos) {
     this.bucketNanos = Math.max(1, windowNanos / BUCKETS);
     this.newestBucket = Long.MIN_VALUE / 2;
   }
 
   /** Counts one event now. */
-  void add(long nowNanos) {
+  public void add(long nowNanos) {
     advance(nowNanos);
     counts[(int) Math.floorMod(newestBucket, (long) BUCKETS)]++;
   }
 
   /** Returns the number of events in the window that ends now. */
-  long sum(long nowNanos) {
+  public long sum(long nowNanos) {
     advance(nowNanos);
     long sum = 0;
     for (long count : counts) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
@@ -90,6 +90,15 @@
     var unused = eventLoop().schedule(guarded(task), delay.toNanos(), TimeUnit.NANOSECONDS);
   }
 
+  /**
+   * Runs a task once all sockets have been read anew, so that it knows of every connection that was
+   * closed before this call. Scheduled tasks run after the sockets were read, and those that a task
+   * schedules only the next time.
+   */
+  public void afterNextRead(Runnable task) {
+    schedule(Duration.ZERO, () -> schedule(Duration.ZERO, task));
+  }
+
   /** Runs a task again and again, with a fixed pause between two runs. */
   public void every(Duration pause, Runnable task) {
     var unused =
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -91,12 +91,23 @@
   }
 
   private void send(ReplicaLink opened) {
+    link = opened;
+    if (with.state().behind()) {
+      // The caller may have left while its request, or this connection, waited for the loop.
+      with.loop().afterNextRead(() -> sendUnlessLeft(opened));
+    } else {
+      sendUnlessLeft(opened);
+    }
+  }
+
+  private void sendUnlessLeft(ReplicaLink opened) {
+    if (left) {
+      return;
+    }
     if (!dispatcher.uses(replica)) {
-      opened.cancel();
       notReached("the replica has departed meanwhile");
       return;
     }
-    link = opened;
     heardNanos = with.nanoTime().getAsLong();
     opened.send(exchange.requestFor(replica, cacheSource), this);
     watchSilence();
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -58,12 +58,6 @@
   private final ExchangeLog log;
   private @Nullable Attempt attempt;
 
-  /**
-   * In which time the close of a caller is read that left while its request waited unread: the loop
-   * reads the bytes of a connection first and its end the next time.
-   */
-  private static final Duration CLOSE_NOTICED = Duration.ofMillis(2);
-
   private @Nullable Future<?> timeOver;
   private boolean waiting;
   private boolean ended;
@@ -108,17 +102,7 @@
         with.loop()
             .eventLoop()
             .schedule(this::onTimeOver, Math.max(0, leftNanos), TimeUnit.NANOSECONDS);
-    if (with.state().behind()) {
-      with.loop().schedule(CLOSE_NOTICED, this::placeIfWanted);
-    } else {
-      place();
-    }
-  }
-
-  private void placeIfWanted() {
-    if (!ended) {
-      place();
-    }
+    place();
   }
 
   /** Returns whether the request has its final answer. */
