Log lines for relays, for who reads the store, and for late routers

Cause: three new beliefs of a router left no line, so that nobody could tell afterwards why a router read the store itself or got no callers. Change: relay.changed, store.role_changed, lateness.changed, with the inputs; the wiring of the exchange among routers moved to EntryRouter, which had too many parameters to pass on.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
@@ -28,6 +28,12 @@
   REPLICA_SUSPENDED("replica.suspended", Weight.CHANGE),
   /** The parts of prompts that a replica holds were asked for. */
   CACHE_LISTED("cache.listed", Weight.CHANGE),
+  /** This router tells its news to another relay from now on, or relays itself. */
+  RELAY_CHANGED("relay.changed", Weight.CHANGE),
+  /** This router calls the store for changes from now on, or leaves that to a relay. */
+  STORE_ROLE_CHANGED("store.role_changed", Weight.CHANGE),
+  /** This router is late with its work and gives callers away, or has caught up. */
+  LATENESS_CHANGED("lateness.changed", Weight.CHANGE),
   /** This router is ready for callers, or is no longer. */
   READINESS_CHANGED("readiness.changed", Weight.CHANGE),
   /** A request passed the checks of route and key. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -161,19 +161,20 @@
   }
 
   private FleetExchange exchange(RelayTopology topology, UniformRandomProvider random) {
+    List<PrefixFollower> followers = List.of(desiredState, replicaEntries, routerEntries);
     return new FleetExchange(
         settings,
         loop,
-        registry,
         topology,
-        state,
+        new FleetBulletin(registry, topology, state, locations, placements, followers, nanoTime),
+        new KnownPeers(registry, settings.peerAddress(), settings.seeds(), random::nextDouble),
         locations,
         placements,
         replicas,
-        List.of(desiredState, replicaEntries, routerEntries),
-        random::nextDouble,
+        followers,
         InstantSource.system(),
-        nanoTime);
+        nanoTime,
+        log);
   }
 
   private CacheInspection inspection(RelayTopology topology, CacheInspector inspector) {
@@ -296,7 +297,7 @@
 
   private void tick() {
     lateness.ran();
-    exchange.late(lateness.late());
+    exchange.late(lateness.late(), state.active());
     if (pauseWatch.pausedSinceLastCall()) {
       log.record(
           Decision.of(DecisionEvent.PROCESS_PAUSED).with("next", "all beliefs are read anew"));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
@@ -134,9 +134,14 @@
     ownParts.addAll(placed);
   }
 
-  /** Takes note whether this router is late with its work and should get no further callers. */
-  void late(boolean isLate) {
+  /**
+   * Takes note whether this router is late with its work and should get no further callers; returns
+   * whether that has changed.
+   */
+  boolean late(boolean isLate) {
+    boolean changed = late != isLate;
     late = isLate;
+    return changed;
   }
 
   /** Forgets routers that have fallen silent. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -9,8 +9,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
 import org.coltsfootvale.core.dispatch.PromptLocations;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
@@ -23,7 +25,6 @@
 import org.coltsfootvale.core.registry.ReaderRole;
 import org.coltsfootvale.core.registry.RelayTopology;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
-import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.store.PrefixFollower;
@@ -64,44 +65,42 @@
   /** How many routers a new one asks; more than one, as one may be down unnoticed. */
   private static final int TELLERS = 2;
 
-  private final RouterRegistry registry;
   private final PromptLocations locations;
   private final PeerPlacements placements;
   private final ReplicaTable replicas;
-  private final DoubleSupplier random;
   private final InstantSource clock;
   private final PeerTransport transport;
   private final Map<String, Long> departures = new HashMap<>();
   private final RelayTopology topology;
   private final FleetBulletin bulletin;
   private final KnownPeers peers;
+  private final DecisionLog log;
   private final StoreExchange stored;
   private boolean placementsAsked;
+  private String relayId = "";
 
   FleetExchange(
       EntrySettings settings,
       ServingLoop loop,
-      RouterRegistry registry,
       RelayTopology topology,
-      ServingState state,
+      FleetBulletin bulletin,
+      KnownPeers peers,
       PromptLocations locations,
       PeerPlacements placements,
       ReplicaTable replicas,
       List<PrefixFollower> followers,
-      DoubleSupplier random,
       InstantSource clock,
-      LongSupplier nanoTime) {
-    this.registry = registry;
+      LongSupplier nanoTime,
+      DecisionLog log) {
+    this.log = log;
     this.locations = locations;
     this.placements = placements;
     this.replicas = replicas;
-    this.random = random;
     this.clock = clock;
     this.topology = topology;
-    this.bulletin =
-        new FleetBulletin(registry, topology, state, locations, placements, followers, nanoTime);
+    this.bulletin = bulletin;
+    this.peers = peers;
     HostPort self = settings.peerAddress();
-    this.peers = new KnownPeers(registry, self, settings.seeds(), random);
     this.transport =
         new NettyPeerTransport(
             new RouterIncarnation(new RouterId(settings.id()), Math.max(1, clock.millis())),
@@ -119,6 +118,7 @@
             transport,
             followers,
             new ReaderRole(topology, nanoTime),
+            log,
             nanoTime);
   }
 
@@ -145,7 +145,7 @@
     stored.follow(placements.peers() > 0);
     bulletin.addParts(locations.drainNews());
     if (topology.direct()) {
-      send(registry.peers(), bulletin.ofThisRouter(departures.keySet()));
+      send(peers.all(), bulletin.ofThisRouter(departures.keySet()));
     } else {
       tellThroughRelays();
     }
@@ -155,6 +155,7 @@
 
   private void tellThroughRelays() {
     Optional<RouterAdvertisement> relay = topology.relay();
+    noteRelay(relay.orElse(peers.self()));
     if (relay.isPresent()) {
       topology.told(relay.get());
       if (bulletin.reportDue(relay.get(), departures.keySet())) {
@@ -171,6 +172,16 @@
     }
   }
 
+  private void noteRelay(RouterAdvertisement relay) {
+    if (!relay.id().equals(relayId)) {
+      relayId = relay.id();
+      log.record(
+          Decision.of(DecisionEvent.RELAY_CHANGED)
+              .with("relay", relayId)
+              .with("routers", topology.neighbours()));
+    }
+  }
+
   private void send(List<RouterAdvertisement> receivers, ServingNews news) {
     Envelope message = Envelope.newBuilder().setServingNews(news).build();
     receivers.forEach(receiver -> transport.send(receiver.peerAddress(), message));
@@ -186,9 +197,18 @@
     return bulletin.lateIds();
   }
 
-  /** Takes note whether this router is late with its work. */
-  void late(boolean isLate) {
-    bulletin.late(isLate);
+  /**
+   * Takes note whether this router is late with its work.
+   *
+   * @param inProgress its requests in progress, for the log
+   */
+  void late(boolean isLate, int inProgress) {
+    if (bulletin.late(isLate)) {
+      log.record(
+          Decision.of(DecisionEvent.LATENESS_CHANGED)
+              .with("late", isLate)
+              .with("requests_in_progress", inProgress));
+    }
   }
 
   /** Asks another router for what the store does not tell. */
@@ -230,15 +250,14 @@
     if (placementsAsked || (!topology.direct() && topology.relay().isPresent())) {
       return;
     }
-    List<HostPort> askable = peers.askable();
-    if (askable.isEmpty()) {
+    List<HostPort> asked = peers.some(TELLERS);
+    if (asked.isEmpty()) {
       return;
     }
     placementsAsked = true;
     Envelope question =
         Envelope.newBuilder().setPlacementsRequest(PlacementsRequest.getDefaultInstance()).build();
-    for (int asked = 0; asked < TELLERS && !askable.isEmpty(); asked++) {
-      HostPort peer = askable.remove((int) (random.getAsDouble() * askable.size()));
+    for (HostPort peer : asked) {
       var unused =
           transport
               .request(peer, question, StoreExchange.REQUEST_TIMEOUT)
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/KnownPeers.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/KnownPeers.java
@@ -13,7 +13,7 @@
 final class KnownPeers {
 
   private final RouterRegistry registry;
-  private final HostPort self;
+  private final HostPort ownAddress;
   private final List<HostPort> seeds;
   private final DoubleSupplier random;
 
@@ -21,33 +21,50 @@
    * Creates the peers of a router.
    *
    * @param registry the advertised routers
-   * @param self where others connect to this router
+   * @param ownAddress where others connect to this router
    * @param seeds where routers may be found while none is advertised
    * @param random gives numbers in [0, 1) that spread questions
    */
-  KnownPeers(RouterRegistry registry, HostPort self, List<HostPort> seeds, DoubleSupplier random) {
+  KnownPeers(
+      RouterRegistry registry, HostPort ownAddress, List<HostPort> seeds, DoubleSupplier random) {
     this.registry = registry;
-    this.self = self;
+    this.ownAddress = ownAddress;
     this.seeds = List.copyOf(seeds);
     this.random = random;
   }
 
-  /** Returns where routers can be asked, in a list of its own. */
-  List<HostPort> askable() {
+  /** Returns this router's advertisement. */
+  RouterAdvertisement self() {
+    return registry.self();
+  }
+
+  /** Returns the other advertised routers. */
+  List<RouterAdvertisement> all() {
+    return registry.peers();
+  }
+
+  /** Returns where some routers, picked at random, can be asked. */
+  List<HostPort> some(int countMax) {
+    List<HostPort> known = askable();
+    List<HostPort> picked = new ArrayList<>();
+    while (picked.size() < countMax && !known.isEmpty()) {
+      picked.add(known.remove((int) (random.getAsDouble() * known.size())));
+    }
+    return picked;
+  }
+
+  private List<HostPort> askable() {
     List<HostPort> known = new ArrayList<>();
     registry.peers().forEach(peer -> known.add(peer.peerAddress()));
     if (known.isEmpty()) {
-      seeds.stream().filter(seed -> !seed.equals(self)).forEach(known::add);
+      seeds.stream().filter(seed -> !seed.equals(ownAddress)).forEach(known::add);
     }
     return known;
   }
 
   /** Returns where one router, picked at random, can be asked. */
   Optional<HostPort> any() {
-    List<HostPort> known = askable();
-    return known.isEmpty()
-        ? Optional.empty()
-        : Optional.of(known.get((int) (random.getAsDouble() * known.size())));
+    return some(1).stream().findFirst();
   }
 
   /** Returns the advertisement of a router that has sent a message. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreExchange.java
@@ -5,6 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.error.Failures;
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.model.RouterIncarnation;
@@ -43,7 +46,9 @@
   private final PeerTransport transport;
   private final List<PrefixFollower> followers;
   private final ReaderRole reader;
+  private final DecisionLog log;
   private final List<RevisionLag> lags = new ArrayList<>();
+  private boolean reads = true;
   private boolean learning;
   private int asking;
 
@@ -54,6 +59,7 @@
       PeerTransport transport,
       List<PrefixFollower> followers,
       ReaderRole reader,
+      DecisionLog log,
       LongSupplier nanoTime) {
     this.topology = topology;
     this.peers = peers;
@@ -61,6 +67,7 @@
     this.transport = transport;
     this.followers = List.copyOf(followers);
     this.reader = reader;
+    this.log = log;
     for (PrefixFollower follower : followers) {
       lags.add(new RevisionLag(LAG_ALLOWED, nanoTime));
       follower.onUpdate(this::passOn);
@@ -78,7 +85,15 @@
    * @param hearsAnybody whether any other router is heard
    */
   void follow(boolean hearsAnybody) {
-    boolean reads = reader.reads(hearsAnybody);
+    boolean latest = reader.reads(hearsAnybody);
+    if (latest != reads) {
+      reads = latest;
+      log.record(
+          Decision.of(DecisionEvent.STORE_ROLE_CHANGED)
+              .with("reads", reads)
+              .with("rank", topology.rank())
+              .with("hears_others", hearsAnybody));
+    }
     followers.forEach(follower -> follower.follow(reads));
   }
 
