Relays leave the lists of caches to each other; replicas are found by their address

Read off the code: after 0.3 s each relay asked all replicas whose caches it did not know, also those that another relay was about to list, up to 5 x 800 lists; and each record of a whole reading was compared with every other one, 999 x 999. Ruled out: the store, which acknowledges within 140 ms at every size.

Change: a relay leaves the replicas of relays that it hears to them for good. Replicas at an address are found in an index. relaysLeaveReplicasToTheRelaysThatTheyHearHoweverLongThatTakes fails with the rule of small fleets.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/CacheCensus.java
@@ -68,6 +68,27 @@
       Collection<String> advertisedIds,
       Collection<String> heardIds,
       List<Replica> engines) {
+    return due(routerId, advertisedIds, heardIds, engines, false);
+  }
+
+  /**
+   * Returns the replicas that a relay asks now; like {@link #due}, but those of the relays that are
+   * heard are left to them for good: a relay may have hundreds of lists to ask for.
+   */
+  public List<Replica> dueAtRelay(
+      String routerId,
+      Collection<String> relayIds,
+      Collection<String> heardRelayIds,
+      List<Replica> engines) {
+    return due(routerId, relayIds, heardRelayIds, engines, true);
+  }
+
+  private List<Replica> due(
+      String routerId,
+      Collection<String> advertisedIds,
+      Collection<String> heardIds,
+      List<Replica> engines,
+      boolean leftToHeard) {
     begin();
     if (finished) {
       return List.of();
@@ -75,7 +96,8 @@
     long now = nanoTime.getAsLong();
     List<Replica> unknown = unknown(engines);
     Optional<Long> self = Optional.of(RendezvousHashing.hash(routerId));
-    Set<Long> askers = hashes(askers(routerId, advertisedIds, heardIds, now - begunNanos));
+    Set<Long> askers =
+        hashes(askers(routerId, advertisedIds, heardIds, now - begunNanos, leftToHeard));
     List<Replica> due = new ArrayList<>();
     for (Replica engine : unknown) {
       long engineHash = RendezvousHashing.hash(engine.id());
@@ -138,11 +160,12 @@
       String routerId,
       Collection<String> advertisedIds,
       Collection<String> heardIds,
-      long elapsedNanos) {
+      long elapsedNanos,
+      boolean leftToHeard) {
     Set<String> askers = new HashSet<>();
     if (elapsedNanos < ADVERTISED_ASK.toNanos()) {
       askers.addAll(advertisedIds);
-    } else if (elapsedNanos < HEARD_ASK.toNanos()) {
+    } else if (leftToHeard || elapsedNanos < HEARD_ASK.toNanos()) {
       askers.addAll(heardIds);
     }
     askers.add(routerId);
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/ReplicaTable.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/ReplicaTable.java
@@ -1,11 +1,15 @@
 package org.coltsfootvale.core.replica;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
+import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.store.LapsingTable;
 
 /** The replicas that this router believes in. Confined to one thread. */
@@ -23,6 +27,7 @@
 
   private final Listener listener;
   private final LapsingTable<Replica> table;
+  private final Map<HostPort, Set<String>> idsByAddress = new HashMap<>();
 
   /**
    * Creates an empty table.
@@ -33,8 +38,20 @@
    */
   public ReplicaTable(Duration lapseGrace, LongSupplier nanoTime, Listener listener) {
     this.listener = listener;
-    this.table =
-        new LapsingTable<>(lapseGrace, nanoTime, (id, replica) -> listener.onDeparture(replica));
+    this.table = new LapsingTable<>(lapseGrace, nanoTime, (id, replica) -> onDropped(replica));
+  }
+
+  private void onDropped(Replica replica) {
+    forgetAddress(replica);
+    listener.onDeparture(replica);
+  }
+
+  private void forgetAddress(Replica replica) {
+    Set<String> ids = idsByAddress.getOrDefault(replica.address(), new HashSet<>());
+    ids.remove(replica.id());
+    if (ids.isEmpty()) {
+      idsByAddress.remove(replica.address());
+    }
   }
 
   /** Takes note that the store was out of reach until now, so that entries may have lapsed. */
@@ -45,6 +62,8 @@
   /** Takes an entry as the store holds it. */
   public void put(Replica replica) {
     Optional<Replica> known = table.put(replica.id(), replica);
+    known.ifPresent(this::forgetAddress);
+    idsByAddress.computeIfAbsent(replica.address(), address -> new HashSet<>()).add(replica.id());
     boolean leftBefore =
         known.filter(before -> before.leaving() && before.sameIncarnation(replica)).isPresent();
     if (leftBefore && !replica.leaving()) {
@@ -56,7 +75,7 @@
     if (replica.leaving() || superseded(replica)) {
       listener.onDeparture(replica);
     } else {
-      table.all().stream()
+      atSameAddress(replica)
           .filter(other -> supersedes(replica, other))
           .forEach(listener::onDeparture);
       listener.onReplica(replica);
@@ -64,7 +83,13 @@
   }
 
   private boolean superseded(Replica replica) {
-    return table.all().stream().anyMatch(other -> supersedes(other, replica));
+    return atSameAddress(replica).anyMatch(other -> supersedes(other, replica));
+  }
+
+  /** Returns the records that name the address of a replica. */
+  private Stream<Replica> atSameAddress(Replica replica) {
+    return idsByAddress.getOrDefault(replica.address(), Set.of()).stream()
+        .flatMap(id -> table.find(id).stream());
   }
 
   /** An address belongs to the server that started last; entries of dead ones lapse later. */
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/CacheCensusTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/CacheCensusTest.java
@@ -121,6 +121,28 @@
     assertEquals(census.due("a", List.of("a"), NONE, engines()), List.of());
   }
 
+  @Test
+  public void relaysLeaveReplicasToTheRelaysThatTheyHearHoweverLongThatTakes() {
+    List<Replica> asked = new ArrayList<>();
+    for (String router : ROUTERS) {
+      List<String> others = ROUTERS.stream().filter(other -> !other.equals(router)).toList();
+      CacheCensus census = new CacheCensus(false, locations, now::get);
+      asked.addAll(census.dueAtRelay(router, others, NONE, engines()));
+      pass(400);
+      asked.addAll(census.dueAtRelay(router, others, others, engines()));
+    }
+    assertEquals(asked.size(), engines().size());
+  }
+
+  @Test
+  public void aRelayThatHearsNoOtherOneAsksAllReplicas() {
+    CacheCensus census = new CacheCensus(false, locations, now::get);
+    List<Replica> asked = new ArrayList<>(census.dueAtRelay("a", ROUTERS, NONE, engines()));
+    pass(400);
+    asked.addAll(census.dueAtRelay("a", ROUTERS, NONE, engines()));
+    assertEquals(asked.size(), engines().size());
+  }
+
   @Test
   public void aRouterThatLeavesTheAskingToRelaysIsReadyOnceTheyHaveToldOfAllCaches() {
     CacheCensus census = new CacheCensus(false, locations, now::get);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CacheInspection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CacheInspection.java
@@ -1,5 +1,6 @@
 package org.coltsfootvale.router.serving;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -60,20 +61,20 @@
       return;
     }
     if (topology.direct()) {
-      ask(registry.routers(), heardIds.get());
+      Collection<String> advertised = ids(registry.routers());
+      census.due(routerId, advertised, heardIds.get(), state.engines()).forEach(this::ask);
     } else if (topology.relay().isEmpty()) {
-      List<RouterAdvertisement> relays = topology.relaysElsewhere();
+      Collection<String> relays = ids(topology.relaysElsewhere());
       Set<String> heard = new HashSet<>(heardIds.get());
-      heard.retainAll(relays.stream().map(RouterAdvertisement::id).toList());
-      ask(relays, heard);
+      heard.retainAll(relays);
+      census.dueAtRelay(routerId, relays, heard, state.engines()).forEach(this::ask);
     } else {
       census.leaveToOthers(state.engines());
     }
   }
 
-  private void ask(List<RouterAdvertisement> askers, Set<String> heard) {
-    List<String> advertised = askers.stream().map(RouterAdvertisement::id).toList();
-    census.due(routerId, advertised, heard, state.engines()).forEach(this::ask);
+  private static Collection<String> ids(List<RouterAdvertisement> routers) {
+    return routers.stream().map(RouterAdvertisement::id).toList();
   }
 
   private void ask(Replica engine) {
