--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -27,7 +27,6 @@
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.store.PatientStore;
-import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.store.RevisionedStore;
 import org.coltsfootvale.core.support.Service;
 import org.coltsfootvale.router.http.HttpListener;
@@ -81,9 +80,7 @@
   private final RouterRegistry registry;
   private final ReplicaLinks links;
   private final CallerListener callers;
-  private final PrefixFollower desiredState;
-  private final PrefixFollower replicaEntries;
-  private final PrefixFollower routerEntries;
+  private final FollowedPrefixes followed;
   private final LeaseKeeper advertisement;
   private final DepartureNews departures;
   private final FleetExchange exchange;
@@ -146,12 +143,12 @@
     callers = new CallerListener(loop, settings.callerAddress(), starter, state, nanoTime);
     StoreFollowers following =
         new StoreFollowers(new PatientStore(counted, loop), loop, random::nextDouble, this.log);
-    DesiredStateFeed desiredStateFeed =
-        new DesiredStateFeed(formats, state, this.log, this::onStoreReturned);
-    desiredState = following.desiredState(formats.desiredStateKey(), desiredStateFeed);
-    replicaEntries =
-        following.replicas(formats.replicaPrefix(), new ReplicaFeed(formats, replicas));
-    routerEntries = following.routers(RouterRegistry.PREFIX, registry);
+    followed =
+        following.create(
+            formats,
+            new DesiredStateFeed(formats, state, this.log, this::onStoreReturned),
+            new ReplicaFeed(formats, replicas),
+            registry);
     advertisement =
         new LeaseKeeper(
             counted,
@@ -160,7 +157,7 @@
             ADVERTISEMENT_LIFE,
             loop,
             random::nextDouble);
-    exchange = exchange(topology, desiredStateFeed, random);
+    exchange = exchange(topology, random);
     caches = inspection(topology, inspector);
     pauseWatch = new PauseWatch(nanoTime, System::currentTimeMillis);
     smallListeners =
@@ -169,20 +166,17 @@
     observation = observation(new MetricsPage(metrics, counted));
   }
 
-  private FleetExchange exchange(
-      RelayTopology topology, DesiredStateFeed inForce, UniformRandomProvider random) {
-    List<PrefixFollower> followers = List.of(desiredState, replicaEntries, routerEntries);
+  private FleetExchange exchange(RelayTopology topology, UniformRandomProvider random) {
     return new FleetExchange(
         settings,
         loop,
         topology,
-        new FleetBulletin(registry, topology, state, locations, placements, followers, nanoTime),
+        new FleetBulletin(registry, topology, state, locations, placements, followed, nanoTime),
         new KnownPeers(registry, settings.peerAddress(), settings.seeds(), random::nextDouble),
         locations,
         placements,
         departures,
-        followers,
-        inForce,
+        followed,
         InstantSource.system(),
         nanoTime,
         log);
@@ -202,8 +196,8 @@
   }
 
   private void onStoreReturned() {
-    replicaEntries.storeReturned();
-    routerEntries.storeReturned();
+    followed.replicas().storeReturned();
+    followed.routers().storeReturned();
   }
 
   private static RouterAdvertisement advertisementOf(EntrySettings settings) {
@@ -229,13 +223,7 @@
 
   private Optional<ObservationListener> observation(MetricsPage page) {
     StateReport report =
-        new StateReport(
-            state,
-            registry,
-            placements,
-            List.of(desiredState, replicaEntries, routerEntries),
-            this::ready,
-            nanoTime);
+        new StateReport(state, registry, placements, followed.all(), this::ready, nanoTime);
     return settings
         .metrics()
         .map(at -> new ObservationListener(loop, at.address(), at.path(), page, report));
@@ -276,9 +264,7 @@
             .with("first_start", settings.firstStart()));
     loop.execute(
         () -> {
-          desiredState.start();
-          replicaEntries.start();
-          routerEntries.start();
+          followed.start();
           tellPeers();
         });
     loop.every(ASK_PAUSE, exchange::askIfUninformed);
@@ -312,9 +298,7 @@
     if (pauseWatch.pausedSinceLastCall()) {
       log.record(
           Decision.of(DecisionEvent.PROCESS_PAUSED).with("next", "all beliefs are read anew"));
-      desiredState.restart();
-      replicaEntries.restart();
-      routerEntries.restart();
+      followed.restart();
     }
     if (informed()) {
       exchange.askPlacements();
@@ -341,7 +325,7 @@
   }
 
   private boolean informed() {
-    return state.routing().isPresent() && replicaEntries.everRead();
+    return state.routing().isPresent() && followed.replicas().everRead();
   }
 
   /**
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
@@ -27,9 +27,6 @@
  */
 final class FleetBulletin {
 
-  /** The place of the follower of the desired state among all. */
-  static final int DESIRED_STATE = 0;
-
   /** How many messages name the routers once that the sender speaks for, unless these change. */
   private static final int ROUTERS_EVERY = 5;
 
@@ -43,7 +40,7 @@
   private final ServingState state;
   private final PromptLocations locations;
   private final PeerPlacements placements;
-  private final List<PrefixFollower> followers;
+  private final FollowedPrefixes followed;
   private final LongSupplier nanoTime;
   private final Map<String, Speaker> speakers = new HashMap<>();
   private final List<PromptLocations.Placed> ownParts = new ArrayList<>();
@@ -64,14 +61,14 @@
       ServingState state,
       PromptLocations locations,
       PeerPlacements placements,
-      List<PrefixFollower> followers,
+      FollowedPrefixes followed,
       LongSupplier nanoTime) {
     this.registry = registry;
     this.topology = topology;
     this.state = state;
     this.locations = locations;
     this.placements = placements;
-    this.followers = followers;
+    this.followed = followed;
     this.nanoTime = nanoTime;
   }
 
@@ -223,7 +220,7 @@
     toldInFlight = state.inFlightByReplica();
     return news(ServingNews.Scope.ROUTER, leaving, toldInFlight, ownParts)
         .addAllLateRouters(late ? Set.of(RendezvousHashing.hash(registry.self().id())) : Set.of())
-        .setStoreCurrent(current())
+        .setStoreCurrent(followed.readCurrent())
         .build();
   }
 
@@ -242,7 +239,7 @@
     List<PromptLocations.Placed> parts = new ArrayList<>(ownParts);
     parts.addAll(reportedParts);
     ServingNews.Builder news = news(ServingNews.Scope.DATA_CENTRE, leaving, inFlight, parts);
-    return nameRouters(news, routers).setStoreCurrent(current()).build();
+    return nameRouters(news, routers).setStoreCurrent(followed.readCurrent()).build();
   }
 
   /** Returns the news of all routers that this one knows of. */
@@ -272,7 +269,9 @@
     Map<Long, Integer> inFlight = state.inFlightByReplica();
     placements.inFlight().forEach((replica, count) -> inFlight.merge(replica, count, Integer::sum));
     ServingNews.Builder news = news(ServingNews.Scope.FLEET, leaving, inFlight, parts);
-    return nameRouters(news, heardIds()).setStoreCurrent(current() || relayCurrent()).build();
+    return nameRouters(news, heardIds())
+        .setStoreCurrent(followed.readCurrent() || relayCurrent())
+        .build();
   }
 
   private boolean relayCurrent() {
@@ -296,7 +295,7 @@
     ServingNews.Builder news = ServingNews.newBuilder().setScope(scope);
     inFlight.forEach((replica, count) -> news.addReplicas(replica).addInFlight(count));
     parts.forEach(placed -> news.addParts(placed.part()).addPartReplicas(placed.cache()));
-    for (PrefixFollower follower : followers) {
+    for (PrefixFollower follower : followed.all()) {
       StorePosition latest = follower.latestChange();
       news.addPrefixChanges(latest.revision()).addPrefixEras(latest.era());
     }
@@ -321,10 +320,6 @@
     return news;
   }
 
-  private boolean current() {
-    return followers.stream().allMatch(follower -> follower.reading() && follower.current());
-  }
-
   /** What a router has told last. */
   private record Speaker(
       ServingNews.Scope scope,
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -23,7 +23,6 @@
 import org.coltsfootvale.core.registry.ReaderRole;
 import org.coltsfootvale.core.registry.RelayTopology;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
-import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.support.Service;
 import org.coltsfootvale.protocol.ForwardResponder;
 import org.coltsfootvale.protocol.NettyPeerTransport;
@@ -80,8 +79,7 @@
       PromptLocations locations,
       PeerPlacements placements,
       DepartureNews departures,
-      List<PrefixFollower> followers,
-      DesiredStateFeed inForce,
+      FollowedPrefixes followed,
       InstantSource clock,
       LongSupplier nanoTime,
       DecisionLog log) {
@@ -108,8 +106,7 @@
             peers,
             bulletin,
             transport,
-            followers,
-            inForce,
+            followed,
             new ReaderRole(topology, nanoTime),
             log,
             nanoTime);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreExchange.java
@@ -62,8 +62,7 @@
       KnownPeers peers,
       FleetBulletin bulletin,
       PeerTransport transport,
-      List<PrefixFollower> followers,
-      DesiredStateFeed inForce,
+      FollowedPrefixes followed,
       ReaderRole reader,
       DecisionLog log,
       LongSupplier nanoTime) {
@@ -71,11 +70,11 @@
     this.peers = peers;
     this.bulletin = bulletin;
     this.transport = transport;
-    this.followers = List.copyOf(followers);
+    this.followers = followed.all();
     this.reader = reader;
     this.log = log;
-    this.inForce = inForce;
-    this.desiredState = followers.get(FleetBulletin.DESIRED_STATE);
+    this.inForce = followed.inForce();
+    this.desiredState = followed.desiredState();
     this.versionLag = new RevisionLag<>(LAG_ALLOWED, nanoTime);
     for (PrefixFollower follower : followers) {
       lags.add(new RevisionLag<>(LAG_ALLOWED, nanoTime));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreFollowers.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreFollowers.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.function.DoubleSupplier;
 import org.coltsfootvale.core.decision.DecisionLog;
+import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.store.PrefixListener;
 import org.coltsfootvale.core.store.RevisionedStore;
@@ -47,19 +48,17 @@
     this.log = log;
   }
 
-  /** Creates the follower of the desired state, whose changes are taken at once. */
-  PrefixFollower desiredState(String key, PrefixListener listener) {
-    return follow(key, listener, PROBING_WAIT, Duration.ZERO);
-  }
-
-  /** Creates a follower of the entries of replicas. */
-  PrefixFollower replicas(String prefix, PrefixListener listener) {
-    return follow(prefix, listener, CHANGES_WAIT, SETTLE);
-  }
-
-  /** Creates a follower of the advertisements of routers. */
-  PrefixFollower routers(String prefix, PrefixListener listener) {
-    return follow(prefix, listener, CHANGES_WAIT, ROUTERS_SETTLE);
+  /** Creates the followers. Changes of the desired state are taken at once, others gather. */
+  FollowedPrefixes create(
+      EntryFormats formats,
+      DesiredStateFeed desiredState,
+      PrefixListener replicas,
+      PrefixListener routers) {
+    return new FollowedPrefixes(
+        follow(formats.desiredStateKey(), desiredState, PROBING_WAIT, Duration.ZERO),
+        desiredState,
+        follow(formats.replicaPrefix(), replicas, CHANGES_WAIT, SETTLE),
+        follow(RouterRegistry.PREFIX, routers, CHANGES_WAIT, ROUTERS_SETTLE));
   }
 
   private PrefixFollower follow(
