--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadChoice.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
@@ -74,7 +73,12 @@
       return null;
     }
     return new Placement(
-        best, Placement.Basis.LEAST_LOADED, bestLoad, loads.mean(), candidates, Optional.empty());
+        best,
+        Placement.Basis.LEAST_LOADED,
+        bestLoad,
+        loads.mean(),
+        candidates,
+        CachedBeginning.NONE);
   }
 
   /** A replica that fails more often than it should costs as much as a full one. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Placement.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Placement.java
@@ -11,7 +11,7 @@
  * @param loadEstimate the requests of all routers that it is taken to work on, without this one
  * @param meanLoad the mean of these over the replicas of the service
  * @param candidates the replicas that could have taken the request
- * @param cacheSource a replica that holds what the chosen one lacks of the prompt, if any
+ * @param cached how much of the prompt is in caches
  */
 public record Placement(
     ReplicaState replica,
@@ -19,7 +19,7 @@
     double loadEstimate,
     double meanLoad,
     int candidates,
-    Optional<HostPort> cacheSource) {
+    CachedBeginning cached) {
 
   /** Why a replica was chosen. */
   public enum Basis {
@@ -31,7 +31,12 @@
     LEAST_LOADED
   }
 
-  Placement withCacheSource(Optional<HostPort> source) {
-    return new Placement(replica, basis, loadEstimate, meanLoad, candidates, source);
+  Placement withCached(CachedBeginning beginning) {
+    return new Placement(replica, basis, loadEstimate, meanLoad, candidates, beginning);
+  }
+
+  /** Returns a replica that holds what the chosen one lacks of the prompt, if any. */
+  public Optional<HostPort> cacheSource() {
+    return cached.source();
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -71,7 +70,7 @@
   private static Placement placement(
       Candidate chosen, Placement.Basis basis, List<Candidate> candidates, double meanLoad) {
     return new Placement(
-        chosen.replica(), basis, chosen.load(), meanLoad, candidates.size(), Optional.empty());
+        chosen.replica(), basis, chosen.load(), meanLoad, candidates.size(), CachedBeginning.NONE);
   }
 
   private static boolean fits(Candidate candidate, double bound) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -226,25 +226,37 @@
     replica.occupy(work, nanoTime.getAsLong());
     Placement placement = chosen;
     if (!work.description().prompt().isEmpty()) {
-      placement = chosen.withCacheSource(cacheSource(work, replica));
+      placement = chosen.withCached(cachedBeginning(work, replica));
       work.sharedParts().forEach(part -> locations.placed(part.hash(), replica));
     }
     work.onPlaced(placement);
   }
 
-  /** Finds a replica that holds more of a prompt's beginning than the chosen one. */
-  private Optional<HostPort> cacheSource(Work work, ReplicaState chosen) {
+  /** Finds what the chosen replica holds, and one that holds more of the prompt's beginning. */
+  private CachedBeginning cachedBeginning(Work work, ReplicaState chosen) {
+    Work.SharedPart all = work.sharedParts().get(0);
+    Optional<HostPort> source = Optional.empty();
+    int fetchTokens = 0;
+    int heldTokens = 0;
     for (Work.SharedPart part : work.sharedParts()) {
       Set<Long> holders = locations.holders(part.hash());
-      if (holders.contains(chosen.cacheHash()) || part.tokens() < options.fetchTokensMin()) {
-        return Optional.empty();
+      if (holders.contains(chosen.cacheHash())) {
+        heldTokens = part.tokens();
+        break;
       }
-      Optional<HostPort> source = reachable(holders);
-      if (source.isPresent()) {
-        return source;
+      if (source.isEmpty() && part.tokens() >= options.fetchTokensMin()) {
+        source = reachable(holders);
+        fetchTokens = source.isPresent() ? part.tokens() : 0;
       }
     }
-    return Optional.empty();
+    int holders = holdersInUse(all.hash());
+    return new CachedBeginning(all.tokens(), heldTokens, fetchTokens, source, holders);
+  }
+
+  private int holdersInUse(long part) {
+    Set<Long> holders = locations.holders(part);
+    return (int)
+        replicas.values().stream().filter(state -> holders.contains(state.cacheHash())).count();
   }
 
   private Optional<HostPort> reachable(Set<Long> holders) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
@@ -69,6 +69,12 @@
     return sharedParts;
   }
 
+  /** Returns the id of the last part of the prompt that other requests share; empty if none. */
+  public final String sharedPartId() {
+    List<PromptPart> prompt = description.prompt();
+    return prompt.isEmpty() ? "" : prompt.get(Math.max(0, prompt.size() - 2)).id();
+  }
+
   private static List<SharedPart> sharedParts(RequestDescription description) {
     List<SharedPart> parts = new ArrayList<>();
     List<PromptPart> prompt = description.prompt();
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
@@ -10,6 +10,7 @@
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
+import org.coltsfootvale.core.dispatch.CachedBeginning;
 import org.coltsfootvale.core.dispatch.Placement;
 import org.coltsfootvale.core.dispatch.Refusal;
 import org.coltsfootvale.core.dispatch.ReplicaState;
@@ -71,7 +72,16 @@
             .with("candidates", placement.candidates())
             .with("send", course.sends() + 1)
             .with("waited_millis", sinceArrival());
-    placement.cacheSource().ifPresent(source -> decision.with("fetch_from", source.toString()));
+    CachedBeginning cached = placement.cached();
+    if (cached.sharedTokens() > 0) {
+      decision
+          .with("part", work.sharedPartId())
+          .with("shared_tokens", cached.sharedTokens())
+          .with("held_tokens", cached.heldTokens())
+          .with("fetch_tokens", cached.fetchTokens())
+          .with("holders", cached.holders());
+    }
+    cached.source().ifPresent(source -> decision.with("fetch_from", source.toString()));
     log.record(decision);
   }
 
