--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/DepartureNews.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/DepartureNews.java
@@ -17,12 +17,10 @@
   /** How long a departure is told again and again, so that a lost message does no harm. */
   private static final Duration TOLD = Duration.ofSeconds(1);
 
-  private final ReplicaTable replicas;
   private final LongSupplier nanoTime;
   private final Map<ReplicaDeparture, Long> announcedNanos = new HashMap<>();
 
-  DepartureNews(ReplicaTable replicas, LongSupplier nanoTime) {
-    this.replicas = replicas;
+  DepartureNews(LongSupplier nanoTime) {
     this.nanoTime = nanoTime;
   }
 
@@ -39,13 +37,13 @@
     return List.copyOf(announcedNanos.keySet());
   }
 
-  /** Returns all departures that are remembered. */
-  List<ReplicaDeparture> all() {
+  /** Returns all departures that a table remembers. */
+  static List<ReplicaDeparture> all(ReplicaTable replicas) {
     return replicas.departures().stream().map(DepartureNews::message).toList();
   }
 
-  /** Takes the departures that another router tells. */
-  void heard(ServingNews news) {
+  /** Takes the departures that another router tells to a table. */
+  static void take(ServingNews news, ReplicaTable replicas) {
     for (ReplicaDeparture message : news.getDeparturesList()) {
       replicas.heard(
           new Departure(
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
@@ -136,9 +136,9 @@
     return parts;
   }
 
-  /** Takes parts that this router has placed. */
-  void addParts(List<PromptLocations.Placed> placed) {
-    ownParts.addAll(placed);
+  /** Collects the parts that this router has placed. */
+  void collectParts() {
+    ownParts.addAll(locations.drainNews());
   }
 
   /**
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -13,7 +13,6 @@
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
-import org.coltsfootvale.core.dispatch.PromptLocations;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.error.Failures;
@@ -24,6 +23,7 @@
 import org.coltsfootvale.core.registry.ReaderRole;
 import org.coltsfootvale.core.registry.RelayTopology;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
+import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.support.Service;
 import org.coltsfootvale.protocol.ForwardResponder;
 import org.coltsfootvale.protocol.NettyPeerTransport;
@@ -59,10 +59,10 @@
   /** How many routers a new one asks; more than one, as one may be down unnoticed. */
   private static final int TELLERS = 2;
 
-  private final PromptLocations locations;
   private final PeerPlacements placements;
   private final PeerTransport transport;
   private final DepartureNews departures;
+  private final ReplicaTable replicas;
   private final RelayTopology topology;
   private final FleetBulletin bulletin;
   private final KnownPeers peers;
@@ -77,17 +77,17 @@
       RelayTopology topology,
       FleetBulletin bulletin,
       KnownPeers peers,
-      PromptLocations locations,
       PeerPlacements placements,
       DepartureNews departures,
+      ReplicaTable replicas,
       FollowedPrefixes followed,
       InstantSource clock,
       LongSupplier nanoTime,
       DecisionLog log) {
     this.log = log;
-    this.locations = locations;
     this.placements = placements;
     this.departures = departures;
+    this.replicas = replicas;
     this.topology = topology;
     this.bulletin = bulletin;
     this.peers = peers;
@@ -129,7 +129,7 @@
     bulletin.expire();
     List<ReplicaDeparture> leaving = departures.latest();
     stored.follow(placements.peers() > 0);
-    bulletin.addParts(locations.drainNews());
+    bulletin.collectParts();
     if (topology.direct()) {
       List<RouterAdvertisement> receivers = peers.all();
       if (bulletin.due(ids(receivers), leaving)) {
@@ -232,9 +232,10 @@
       peers
           .find(from)
           .ifPresent(
-              router -> send(List.of(router), bulletin.ofFleetWithAllParts(departures.all())));
+              router ->
+                  send(List.of(router), bulletin.ofFleetWithAllParts(DepartureNews.all(replicas))));
     }
-    departures.heard(news);
+    DepartureNews.take(news, replicas);
     stored.askWhatIsMissing(from, news);
   }
 
@@ -262,7 +263,7 @@
                     if (failure == null) {
                       ServingNews news = reply.getServingNews();
                       bulletin.takeParts(news);
-                      departures.heard(news);
+                      DepartureNews.take(news, replicas);
                       stored.askIfLater(peer, news.getDesiredStateVersion());
                     } else {
                       LOGGER.atFine().log(
@@ -275,7 +276,7 @@
 
   @Override
   public ServingNews onPlacementsRequest(RouterIncarnation from) {
-    return bulletin.ofPlacements(departures.all());
+    return bulletin.ofPlacements(DepartureNews.all(replicas));
   }
 
   @Override
