Revert "Wait for a long part that is just being read"

The estimate from placements was wrong: engines seem to read a part once for requests that overlap, or the repeats lie elsewhere.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptChoice.java
@@ -20,22 +20,21 @@
   /** The requests for each slot up to which a replica takes further ones. */
   static final double LOAD_A_SLOT_MAX = 1.0;
 
+  private static final double NANOS_PER_MILLI = 1e6;
+
   private final DispatchOptions options;
   private final PromptLocations locations;
   private final PeerPlacements peers;
   private final LongSupplier nanoTime;
-  private final ReadingSpeed readingSpeed;
 
   PromptChoice(
       DispatchOptions options,
       PromptLocations locations,
       PeerPlacements peers,
-      ReadingSpeed readingSpeed,
       LongSupplier nanoTime) {
     this.options = options;
     this.locations = locations;
     this.peers = peers;
-    this.readingSpeed = readingSpeed;
     this.nanoTime = nanoTime;
   }
 
@@ -114,7 +113,8 @@
 
   /** Counts the prompts that a replica still reads, beyond what it reads at once, as requests. */
   private double readingLoad(ReplicaState replica) {
-    double delayNanos = readingSpeed.nanosFor(replica.unstartedTokens());
+    double delayNanos =
+        replica.unstartedTokens() / options.promptTokensPerMilli() * NANOS_PER_MILLI;
     return Math.max(0, delayNanos / options.startDelayMax().toNanos() - 1);
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PromptLocations.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.replica.Replica;
@@ -28,9 +27,6 @@
   /** How long after it was told a part that is used again is told again. */
   private static final Duration TOLD_AGAIN = Duration.ofSeconds(10);
 
-  /** How long after a start what others tell may still be what they have listed, and not new. */
-  private static final Duration LISTS_TOLD = Duration.ofSeconds(1);
-
   private final long lifeNanos;
   private final LongSupplier nanoTime;
   private final Map<Long, Map<Long, Use>> usesByPart =
@@ -44,7 +40,6 @@
       };
   private List<Placed> news = new ArrayList<>();
   private boolean complete = true;
-  private long completeSinceNanos;
 
   /**
    * Creates empty knowledge.
@@ -55,31 +50,20 @@
   public PromptLocations(Duration life, LongSupplier nanoTime) {
     this.lifeNanos = life.toNanos();
     this.nanoTime = nanoTime;
-    this.completeSinceNanos = nanoTime.getAsLong() - LISTS_TOLD.toNanos();
   }
 
   /** Takes note that this router sends a request with a part to a replica. */
   void placed(long part, ReplicaState replica) {
-    Use use = use(part, replica.cacheHash(), nanoTime.getAsLong());
+    Use use = use(part, replica.cacheHash());
     if (use.usedNanos - use.toldNanos >= TOLD_AGAIN.toNanos()) {
       use.toldNanos = use.usedNanos;
       news.add(new Placed(part, replica.cacheHash()));
     }
   }
 
-  /** Takes note that a replica has read a part whole. */
-  void read(long part, ReplicaState replica) {
-    Use use = usesByPart.getOrDefault(part, Map.of()).get(replica.cacheHash());
-    if (use != null) {
-      use.sinceNanos = Math.min(use.sinceNanos, nanoTime.getAsLong() - lifeNanos);
-    }
-  }
-
   /** Takes note that another router has sent a request with a part to a replica. */
   public void heard(Placed placed) {
-    long now = nanoTime.getAsLong();
-    boolean placedNow = complete && now - completeSinceNanos >= LISTS_TOLD.toNanos();
-    Use use = use(placed.part(), placed.cache(), placedNow ? now : now - lifeNanos);
+    Use use = use(placed.part(), placed.cache());
     use.toldNanos = use.usedNanos;
   }
 
@@ -95,7 +79,7 @@
     long cache = ReplicaState.cacheHash(replica);
     for (String part : parts) {
       long partHash = RendezvousHashing.hash(part);
-      Use use = use(partHash, cache, nanoTime.getAsLong() - lifeNanos);
+      Use use = use(partHash, cache);
       use.toldNanos = use.usedNanos;
       news.add(new Placed(partHash, cache));
     }
@@ -111,9 +95,6 @@
 
   /** Takes note whether more is about to become known, as when a router has just started. */
   void complete(boolean latest) {
-    if (latest && !complete) {
-      completeSinceNanos = nanoTime.getAsLong();
-    }
     complete = latest;
   }
 
@@ -140,40 +121,23 @@
     return used.keySet();
   }
 
-  /**
-   * Returns for how long the cache that has had a part the longest has had it; empty if none holds
-   * it.
-   */
-  OptionalLong heldForNanos(long part) {
-    long now = nanoTime.getAsLong();
-    Map<Long, Use> used = usesByPart.get(part);
-    return used == null
-        ? OptionalLong.empty()
-        : used.values().stream().mapToLong(use -> now - use.sinceNanos).max();
-  }
-
-  private Use use(long part, long cache, long sinceNanos) {
+  private Use use(long part, long cache) {
     long now = nanoTime.getAsLong();
     Use use =
         usesByPart
             .computeIfAbsent(part, hash -> new LinkedHashMap<>())
-            .computeIfAbsent(cache, hash -> new Use(sinceNanos, now - TOLD_AGAIN.toNanos()));
+            .computeIfAbsent(cache, hash -> new Use(now - TOLD_AGAIN.toNanos()));
     use.usedNanos = now;
     return use;
   }
 
-  /**
-   * Since when a part has been at a replica, when it was used last there, and when the other
-   * routers were told of it.
-   */
+  /** When a part was used last at a replica, and when the other routers were told of it. */
   private static final class Use {
 
-    private long sinceNanos;
     private long usedNanos;
     private long toldNanos;
 
-    Use(long sinceNanos, long toldNanos) {
-      this.sinceNanos = sinceNanos;
+    Use(long toldNanos) {
       this.toldNanos = toldNanos;
     }
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
@@ -43,7 +42,6 @@
   private final ReplicaChoice promptChoice;
   private final ReplicaChoice leastLoadChoice;
   private final PromptLocations locations;
-  private final ReadingSpeed readingSpeed;
   private final Map<String, ReplicaState> replicas = new HashMap<>();
   private final Map<Long, Departed> departed = new HashMap<>();
   private final List<Work> waiting = new ArrayList<>();
@@ -71,8 +69,7 @@
     this.nanoTime = nanoTime;
     this.random = random;
     this.locations = locations;
-    this.readingSpeed = new ReadingSpeed(options.promptTokensPerMilli());
-    this.promptChoice = new PromptChoice(options, locations, peers, readingSpeed, nanoTime);
+    this.promptChoice = new PromptChoice(options, locations, peers, nanoTime);
     this.leastLoadChoice = new LeastLoadChoice(options, ownDataCentre, peers, nanoTime, random);
   }
 
@@ -132,15 +129,6 @@
     waiting.remove(work);
   }
 
-  /** Takes note that the answer of a request has begun. */
-  public void started(ReplicaState replica, Work work) {
-    replica.started(work);
-    work.sharedParts().forEach(part -> locations.read(part.hash(), replica));
-    work.placedNanos()
-        .ifPresent(
-            placed -> readingSpeed.observed(work.tokensToRead(), nanoTime.getAsLong() - placed));
-  }
-
   /** Takes note that a replica no longer works on a request. */
   public void release(ReplicaState replica) {
     replica.vacate();
@@ -239,7 +227,6 @@
     Placement placement = chosen;
     if (!work.description().prompt().isEmpty()) {
       placement = chosen.withCached(cachedBeginning(work, replica));
-      work.placed(placement.cached(), nanoTime.getAsLong());
       work.sharedParts().forEach(part -> locations.placed(part.hash(), replica));
     }
     work.onPlaced(placement);
@@ -290,24 +277,7 @@
     if (work.description().prompt().isEmpty()) {
       return leastLoadChoice.choose(work, replicas.values());
     }
-    boolean awaits = awaitsLocations(work) || awaitsReading(work);
-    return awaits ? null : promptChoice.choose(work, replicas.values());
-  }
-
-  /**
-   * Holds a prompt whose shared part is just being read for another request: it would be read once
-   * more beside that, and both would be slower for it.
-   */
-  private boolean awaitsReading(Work work) {
-    Work.SharedPart part = work.sharedParts().get(0);
-    if (part.tokens() < options.costlyTokens()) {
-      return false;
-    }
-    OptionalLong heldFor = locations.heldForNanos(part.hash());
-    return heldFor.isPresent()
-        && heldFor.getAsLong() < readingSpeed.nanosFor(part.tokens())
-        && holdersInUse(part.hash()) > 0
-        && nanoTime.getAsLong() < waitEndNanos(work);
+    return awaitsLocations(work) ? null : promptChoice.choose(work, replicas.values());
   }
 
   /** Holds a prompt that is dear to read while this router is still learning who holds it. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Work.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.coltsfootvale.core.course.PromptPart;
 import org.coltsfootvale.core.course.RequestDescription;
@@ -22,8 +21,6 @@
   private final long goalNanos;
   private final List<SharedPart> sharedParts;
   private final Set<String> triedReplicas = new HashSet<>();
-  private OptionalLong placedNanos = OptionalLong.empty();
-  private int tokensToRead;
 
   /**
    * Creates the work of a request.
@@ -72,23 +69,6 @@
     return sharedParts;
   }
 
-  /** Takes note of when it was placed, and with how much of its prompt in the replica's reach. */
-  final void placed(CachedBeginning cached, long nowNanos) {
-    placedNanos = OptionalLong.of(nowNanos);
-    int inReach = Math.max(cached.heldTokens(), cached.fetchTokens());
-    tokensToRead = description.promptTokens() - inReach;
-  }
-
-  /** Returns when the request was placed last, on the monotonic clock; empty without a prompt. */
-  final OptionalLong placedNanos() {
-    return placedNanos;
-  }
-
-  /** Returns the tokens of the prompt that the replica has to read by what is known of caches. */
-  final int tokensToRead() {
-    return tokensToRead;
-  }
-
   /** Returns the id of the last part of the prompt that other requests share; empty if none. */
   public final String sharedPartId() {
     List<PromptPart> prompt = description.prompt();
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
@@ -46,12 +46,8 @@
     return placed;
   }
 
-  /** Places a request; a prompt that waits for the reading of another one is let wait for it. */
   String hold(Held work) {
     dispatcher.submit(work);
-    if (work.replica == null && work.refusal.isEmpty() && !work.sharedParts().isEmpty()) {
-      awaitReading();
-    }
     return work.replica == null ? "" : work.replica.replica().id();
   }
 
@@ -62,17 +58,11 @@
   String place(Spec spec) {
     Held work = new Held(spec);
     String id = hold(work);
-    dispatcher.started(work.placed(), work);
+    work.placed().started(work);
     dispatcher.release(work.placed());
     return id;
   }
 
-  /** Passes the time in which a long prompt is read. */
-  void awaitReading() {
-    now.addAndGet(TimeUnit.MILLISECONDS.toNanos(200));
-    dispatcher.placeWaiting();
-  }
-
   ReplicaState state(String id) {
     return dispatcher.replicas().stream()
         .filter(state -> state.replica().id().equals(id))
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/OverloadTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/OverloadTest.java
@@ -47,7 +47,7 @@
     List<Held> placed = new ArrayList<>();
     for (int i = 0; i < 10 * placesAReplica; i++) {
       Held held = new Held(spec);
-      hold(held);
+      dispatcher.submit(held);
       placed.add(held);
     }
     wait(50, spec);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -253,7 +253,7 @@
   private void deliverPart(ByteBuf part) {
     if (!begun) {
       begun = true;
-      dispatcher.started(replica, exchange);
+      replica.started(exchange);
     }
     boolean first = !course.answerBegun();
     if (course.route().resumable() && repeated(part)) {
