--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
@@ -131,10 +130,7 @@
     stored.follow(placements.peers() > 0);
     bulletin.collectParts();
     if (topology.direct()) {
-      List<RouterAdvertisement> receivers = peers.all();
-      if (bulletin.due(ids(receivers), leaving)) {
-        send(receivers, bulletin.ofThisRouter(leaving));
-      }
+      send(peers.all(), bulletin.ofThisRouter(leaving));
     } else {
       tellThroughRelays(leaving);
     }
@@ -147,7 +143,7 @@
     noteRelay(relay.orElse(peers.self()));
     if (relay.isPresent()) {
       topology.told(relay.get());
-      if (bulletin.due(Set.of(relay.get().id()), leaving)) {
+      if (bulletin.reportDue(relay.get(), leaving)) {
         send(List.of(relay.get()), bulletin.ofThisRouter(leaving));
       }
     } else {
@@ -161,10 +157,6 @@
     }
   }
 
-  private static Set<String> ids(List<RouterAdvertisement> routers) {
-    return routers.stream().map(RouterAdvertisement::id).collect(Collectors.toSet());
-  }
-
   private void noteRelay(RouterAdvertisement relay) {
     if (!relay.id().equals(relayId)) {
       relayId = relay.id();
