--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpListener.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpListener.java
@@ -8,8 +8,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
-import java.nio.channels.ServerSocketChannel;
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.support.Service;
@@ -18,10 +16,11 @@
 /** Accepts connections on one address and hands their pipelines to a set-up function. */
 public final class HttpListener implements Service {
 
+  private static final int BACKLOG = 1_024;
+
   private final ServingLoop loop;
   private final HostPort address;
   private final Consumer<ChannelPipeline> setUp;
-  private final Optional<ServerSocketChannel> socket;
   private @Nullable Channel listening;
 
   /**
@@ -32,25 +31,8 @@
    * @param setUp adds the handlers of a connection
    */
   public HttpListener(ServingLoop loop, HostPort address, Consumer<ChannelPipeline> setUp) {
-    this(loop, address, Optional.empty(), setUp);
-  }
-
-  /**
-   * Creates a listener that takes over a socket which was opened before.
-   *
-   * @param loop serves the connections
-   * @param address where connections are accepted
-   * @param socket listens at that address already, if present
-   * @param setUp adds the handlers of a connection
-   */
-  public HttpListener(
-      ServingLoop loop,
-      HostPort address,
-      Optional<ServerSocketChannel> socket,
-      Consumer<ChannelPipeline> setUp) {
     this.loop = loop;
     this.address = address;
-    this.socket = socket;
     this.setUp = setUp;
   }
 
@@ -59,13 +41,9 @@
     ServerBootstrap server =
         KeepAliveProbes.on(new ServerBootstrap())
             .group(loop.eventLoop())
-            .channelFactory(
-                () ->
-                    socket
-                        .map(open -> new NioServerSocketChannel(open))
-                        .orElseGet(NioServerSocketChannel::new))
+            .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
-            .option(ChannelOption.SO_BACKLOG, EarlySocket.BACKLOG)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
@@ -74,11 +52,6 @@
                     setUp.accept(channel.pipeline());
                   }
                 });
-    if (socket.isPresent()) {
-      // Begins to accept once the loop gets to it; may be called by the loop itself.
-      listening = server.register().channel();
-      return;
-    }
     listening =
         server
             .bind(new InetSocketAddress(address.host(), address.port()))
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerListener.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerListener.java
@@ -4,9 +4,7 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpServerCodec;
-import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.model.HostPort;
@@ -33,7 +31,6 @@
    *
    * @param loop serves the connections
    * @param address where callers connect
-   * @param socket listens there already, if present
    * @param starter starts their requests
    * @param state what this router believes
    * @param nanoTime the monotonic clock in nanoseconds
@@ -41,14 +38,13 @@
   public CallerListener(
       ServingLoop loop,
       HostPort address,
-      Optional<ServerSocketChannel> socket,
       RequestStarter starter,
       ServingState state,
       LongSupplier nanoTime) {
     this.starter = starter;
     this.state = state;
     this.nanoTime = nanoTime;
-    this.listener = new HttpListener(loop, address, socket, this::setUp);
+    this.listener = new HttpListener(loop, address, this::setUp);
     this.connections = new DefaultChannelGroup(loop.eventLoop());
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/DepartureNews.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/DepartureNews.java
@@ -17,10 +17,12 @@
   /** How long a departure is told again and again, so that a lost message does no harm. */
   private static final Duration TOLD = Duration.ofSeconds(1);
 
+  private final ReplicaTable replicas;
   private final LongSupplier nanoTime;
   private final Map<ReplicaDeparture, Long> announcedNanos = new HashMap<>();
 
-  DepartureNews(LongSupplier nanoTime) {
+  DepartureNews(ReplicaTable replicas, LongSupplier nanoTime) {
+    this.replicas = replicas;
     this.nanoTime = nanoTime;
   }
 
@@ -37,13 +39,13 @@
     return List.copyOf(announcedNanos.keySet());
   }
 
-  /** Returns all departures that a table remembers. */
-  static List<ReplicaDeparture> all(ReplicaTable replicas) {
+  /** Returns all departures that are remembered. */
+  List<ReplicaDeparture> all() {
     return replicas.departures().stream().map(DepartureNews::message).toList();
   }
 
-  /** Takes the departures that another router tells to a table. */
-  static void take(ServingNews news, ReplicaTable replicas) {
+  /** Takes the departures that another router tells. */
+  void heard(ServingNews news) {
     for (ReplicaDeparture message : news.getDeparturesList()) {
       replicas.heard(
           new Departure(
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -1,6 +1,5 @@
 package org.coltsfootvale.router.serving;
 
-import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
@@ -25,6 +24,7 @@
 import org.coltsfootvale.core.registry.RelayTopology;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.registry.RouterRegistry;
+import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.store.PatientStore;
 import org.coltsfootvale.core.store.RevisionedStore;
@@ -90,7 +90,6 @@
   private final Optional<ObservationListener> observation;
   private final DecisionLog log;
   private final CountDownLatch stopped = new CountDownLatch(1);
-  private final CallerIntake intake;
   private boolean advertised;
   private long stopBegunNanos;
 
@@ -99,7 +98,6 @@
    *
    * @param settings its addresses and limits
    * @param loop the thread that serves all its sockets
-   * @param callerSocket listens for callers already, if present
    * @param store the platform's store
    * @param protocol the headers of callers and replicas
    * @param formats the formats of what is kept in the store
@@ -109,7 +107,6 @@
   public EntryRouter(
       EntrySettings settings,
       ServingLoop loop,
-      Optional<ServerSocketChannel> callerSocket,
       RevisionedStore store,
       CallerProtocol protocol,
       EntryFormats formats,
@@ -130,10 +127,8 @@
     lateness = new Lateness(TICK, nanoTime);
     state = servingState(random);
     store.era().logTo(this.log);
-    departures = new DepartureNews(nanoTime);
-    replicas =
-        new ReplicaTable(
-            LAPSE_GRACE, nanoTime, store.era()::latest, new ReplicaChanges(state, departures));
+    replicas = new ReplicaTable(LAPSE_GRACE, nanoTime, store.era()::latest, new ReplicaListener());
+    departures = new DepartureNews(replicas, nanoTime);
     links = new ReplicaLinks(loop, nanoTime);
     RequestStarter starter =
         new RequestStarter(
@@ -145,9 +140,7 @@
             replicas,
             nanoTime,
             this.log);
-    callers =
-        new CallerListener(loop, settings.callerAddress(), callerSocket, starter, state, nanoTime);
-    intake = new CallerIntake(callerSocket.isPresent(), callers::start, this::informed, nanoTime);
+    callers = new CallerListener(loop, settings.callerAddress(), starter, state, nanoTime);
     StoreFollowers following =
         new StoreFollowers(new PatientStore(counted, loop), loop, random::nextDouble, this.log);
     followed =
@@ -180,9 +173,9 @@
         topology,
         new FleetBulletin(registry, topology, state, locations, placements, followed, nanoTime),
         new KnownPeers(registry, settings.peerAddress(), settings.seeds(), random::nextDouble),
+        locations,
         placements,
         departures,
-        replicas,
         followed,
         InstantSource.system(),
         nanoTime,
@@ -261,7 +254,7 @@
   public void start() {
     loop.start();
     smallListeners.forEach(HttpListener::start);
-    intake.start();
+    callers.start();
     exchange.start();
     observation.ifPresent(ObservationListener::start);
     log.record(
@@ -301,7 +294,6 @@
 
   private void tick() {
     lateness.ran();
-    intake.check();
     exchange.late(lateness.late(), state.active());
     if (pauseWatch.pausedSinceLastCall()) {
       log.record(
@@ -379,4 +371,21 @@
       loop.schedule(TICK, this::awaitEnd);
     }
   }
+
+  /** Keeps the serving state up to date, and the other routers informed of departures. */
+  private final class ReplicaListener implements ReplicaTable.Listener {
+
+    @Override
+    public void onReplica(Replica replica) {
+      state.onReplica(replica);
+    }
+
+    @Override
+    public void onDeparture(Replica replica) {
+      state.onDeparture(replica);
+      if (replica.leaving()) {
+        departures.departing(replica);
+      }
+    }
+  }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
@@ -140,9 +140,9 @@
     return parts;
   }
 
-  /** Collects the parts that this router has placed. */
-  void collectParts() {
-    ownParts.addAll(locations.drainNews());
+  /** Takes parts that this router has placed. */
+  void addParts(List<PromptLocations.Placed> placed) {
+    ownParts.addAll(placed);
   }
 
   /**
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -12,6 +12,7 @@
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
+import org.coltsfootvale.core.dispatch.PromptLocations;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.error.Failures;
@@ -22,7 +23,6 @@
 import org.coltsfootvale.core.registry.ReaderRole;
 import org.coltsfootvale.core.registry.RelayTopology;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
-import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.support.Service;
 import org.coltsfootvale.protocol.ForwardResponder;
 import org.coltsfootvale.protocol.NettyPeerTransport;
@@ -58,10 +58,10 @@
   /** How many routers a new one asks; more than one, as one may be down unnoticed. */
   private static final int TELLERS = 2;
 
+  private final PromptLocations locations;
   private final PeerPlacements placements;
   private final PeerTransport transport;
   private final DepartureNews departures;
-  private final ReplicaTable replicas;
   private final RelayTopology topology;
   private final FleetBulletin bulletin;
   private final KnownPeers peers;
@@ -76,17 +76,17 @@
       RelayTopology topology,
       FleetBulletin bulletin,
       KnownPeers peers,
+      PromptLocations locations,
       PeerPlacements placements,
       DepartureNews departures,
-      ReplicaTable replicas,
       FollowedPrefixes followed,
       InstantSource clock,
       LongSupplier nanoTime,
       DecisionLog log) {
     this.log = log;
+    this.locations = locations;
     this.placements = placements;
     this.departures = departures;
-    this.replicas = replicas;
     this.topology = topology;
     this.bulletin = bulletin;
     this.peers = peers;
@@ -128,7 +128,7 @@
     bulletin.expire();
     List<ReplicaDeparture> leaving = departures.latest();
     stored.follow(placements.peers() > 0);
-    bulletin.collectParts();
+    bulletin.addParts(locations.drainNews());
     if (topology.direct()) {
       send(peers.all(), bulletin.ofThisRouter(leaving));
     } else {
@@ -224,10 +224,9 @@
       peers
           .find(from)
           .ifPresent(
-              router ->
-                  send(List.of(router), bulletin.ofFleetWithAllParts(DepartureNews.all(replicas))));
+              router -> send(List.of(router), bulletin.ofFleetWithAllParts(departures.all())));
     }
-    DepartureNews.take(news, replicas);
+    departures.heard(news);
     stored.askWhatIsMissing(from, news);
   }
 
@@ -255,7 +254,7 @@
                     if (failure == null) {
                       ServingNews news = reply.getServingNews();
                       bulletin.takeParts(news);
-                      DepartureNews.take(news, replicas);
+                      departures.heard(news);
                       stored.askIfLater(peer, news.getDesiredStateVersion());
                     } else {
                       LOGGER.atFine().log(
@@ -268,7 +267,7 @@
 
   @Override
   public ServingNews onPlacementsRequest(RouterIncarnation from) {
-    return bulletin.ofPlacements(DepartureNews.all(replicas));
+    return bulletin.ofPlacements(departures.all());
   }
 
   @Override
