--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetBulletin.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.dispatch.PeerPlacements;
 import org.coltsfootvale.core.dispatch.PromptLocations;
+import org.coltsfootvale.core.registry.NewsDue;
 import org.coltsfootvale.core.registry.NewsPace;
 import org.coltsfootvale.core.registry.RelayTopology;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
@@ -30,11 +31,6 @@
   /** How many messages name the routers once that the sender speaks for, unless these change. */
   private static final int ROUTERS_EVERY = 5;
 
-  /**
-   * A router without news reports in each of so many rounds: that it is alive, and what it knows.
-   */
-  private static final int REPORT_EVERY = 4;
-
   private final RouterRegistry registry;
   private final RelayTopology topology;
   private final ServingState state;
@@ -50,9 +46,8 @@
   private final Map<ServingNews.Scope, Set<Long>> toldRouters =
       new EnumMap<>(ServingNews.Scope.class);
   private boolean late;
-  private boolean toldLate;
-  private int unreported;
-  private String reportedTo = "";
+  private final NewsDue newsDue;
+  private ToldState told = new ToldState(Set.of(), false, 0, List.of(), Set.of());
   private long round;
 
   FleetBulletin(
@@ -70,6 +65,7 @@
     this.placements = placements;
     this.followed = followed;
     this.nanoTime = nanoTime;
+    this.newsDue = new NewsDue(nanoTime);
   }
 
   /** Takes news of another router. */
@@ -198,21 +194,22 @@
     return ids;
   }
 
-  /** Returns whether this router has news for its relay, or has not told it any for a while. */
-  boolean reportDue(RouterAdvertisement relay, List<ReplicaDeparture> leaving) {
-    boolean due =
-        ++unreported >= REPORT_EVERY
-            || !relay.id().equals(reportedTo)
-            || !ownParts.isEmpty()
-            || !leaving.isEmpty()
-            || late != toldLate
-            || !toldInFlight.equals(state.inFlightByReplica());
-    if (due) {
-      unreported = 0;
-      toldLate = late;
-      reportedTo = relay.id();
-    }
-    return due;
+  /**
+   * Returns whether this router has news of its own to tell in this round.
+   *
+   * @param receivers the ids of those that are told
+   */
+  boolean due(Set<String> receivers, List<ReplicaDeparture> leaving) {
+    ToldState latest =
+        new ToldState(
+            Set.copyOf(receivers),
+            late,
+            state.desiredStateVersion(),
+            followed.all().stream().map(PrefixFollower::latestChange).toList(),
+            state.pauses().keySet());
+    boolean urgent = !ownParts.isEmpty() || !leaving.isEmpty() || !latest.equals(told);
+    told = latest;
+    return newsDue.due(urgent, !toldInFlight.equals(state.inFlightByReplica()));
   }
 
   /** Returns the news of this router alone. */
@@ -320,6 +317,14 @@
     return news;
   }
 
+  /** What others must know at once when it changes. */
+  private record ToldState(
+      Set<String> receivers,
+      boolean late,
+      long desiredStateVersion,
+      List<StorePosition> latestChanges,
+      Set<Long> pausedReplicas) {}
+
   /** What a router has told last. */
   private record Speaker(
       ServingNews.Scope scope,
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
@@ -130,7 +131,10 @@
     stored.follow(placements.peers() > 0);
     bulletin.addParts(locations.drainNews());
     if (topology.direct()) {
-      send(peers.all(), bulletin.ofThisRouter(leaving));
+      List<RouterAdvertisement> receivers = peers.all();
+      if (bulletin.due(ids(receivers), leaving)) {
+        send(receivers, bulletin.ofThisRouter(leaving));
+      }
     } else {
       tellThroughRelays(leaving);
     }
@@ -143,7 +147,7 @@
     noteRelay(relay.orElse(peers.self()));
     if (relay.isPresent()) {
       topology.told(relay.get());
-      if (bulletin.reportDue(relay.get(), leaving)) {
+      if (bulletin.due(Set.of(relay.get().id()), leaving)) {
         send(List.of(relay.get()), bulletin.ofThisRouter(leaving));
       }
     } else {
@@ -157,6 +161,10 @@
     }
   }
 
+  private static Set<String> ids(List<RouterAdvertisement> routers) {
+    return routers.stream().map(RouterAdvertisement::id).collect(Collectors.toSet());
+  }
+
   private void noteRelay(RouterAdvertisement relay) {
     if (!relay.id().equals(relayId)) {
       relayId = relay.id();
