--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaHealth.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaHealth.java
@@ -35,6 +35,7 @@
   private long pausedUntilNanos;
   private long pausedElsewhereUntilNanos;
   private boolean onTrial;
+  private boolean everPausedElsewhere;
   private long suspendedUntilNanos;
   private double failureShare;
   private long judgedNanos;
@@ -85,15 +86,21 @@
 
   /** Returns what is left of the pause that the replica has asked this router for. */
   Duration pauseLeft() {
+    if (!onTrial) {
+      return Duration.ZERO;
+    }
     return Duration.ofNanos(Math.max(0, pausedUntilNanos - nanoTime.getAsLong()));
   }
 
   /** Returns whether the replica wants no further requests of this router at present. */
   boolean paused() {
-    return nanoTime.getAsLong() - pausedUntilNanos < 0;
+    return onTrial && nanoTime.getAsLong() - pausedUntilNanos < 0;
   }
 
-  /** Returns whether the replica has not given a sound answer since it asked for a pause. */
+  /**
+   * Returns whether the replica has not given a sound answer since it asked for a pause. While it
+   * has asked for none, nothing here reads the clock: all replicas are judged for each request.
+   */
   boolean onTrial() {
     return onTrial;
   }
@@ -103,11 +110,15 @@
     long until = nanoTime.getAsLong() + left.toNanos();
     if (until - pausedElsewhereUntilNanos > HEARD_TOLERANCE.toNanos()) {
       pausedElsewhereUntilNanos = until;
+      everPausedElsewhere = true;
     }
   }
 
   /** Returns what is left of the pause that the replica has asked another router for. */
   Duration pauseElsewhereLeft() {
+    if (!everPausedElsewhere) {
+      return Duration.ZERO;
+    }
     return Duration.ofNanos(Math.max(0, pausedElsewhereUntilNanos - nanoTime.getAsLong()));
   }
 
--- a/config/class-list.sh
+++ b/config/class-list.sh
@@ -1,18 +1,17 @@
 #!/bin/sh
 # Writes the list of the classes in the class data archive: those of a start and of the request path.
 # Run it from the root after changes of the serving code: config/class-list.sh SETTINGS.toml
-# The settings have to name 127.0.0.1:18227 as the address of callers.
 set -eu
 settings=$1
 list=platform/src/main/cds/classes.lst
 parts=$(mktemp -d)
-mvn -B -ntp -q package -pl platform -am -Dtest='RequestPathTest,LifecycleTest,RelayedFleetTest,EarlyCallersTest,RestoredStoreTest' \
+mvn -B -ntp -q package -pl platform -am -Dtest='RequestPathTest,LifecycleTest,RelayedFleetTest,RestoredStoreTest' \
   -Dsurefire.failIfNoSpecifiedTests=false \
   -Dsurefire.argLine="-XX:+UseSerialGC -XX:DumpLoadedClassList=$parts/path.lst" >/dev/null 2>&1
 COLTSFOOTVALE_CONFIG=$settings COLTSFOOTVALE_FLEET_SECRET=only-for-the-class-list COLTSFOOTVALE_METRICS=19464/metrics \
   java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Djava.locale.providers=COMPAT \
   -Dio.netty.jfr.enabled=false -XX:DumpLoadedClassList="$parts/start.lst" \
-  -jar target/coltsfootvale-platform.jar --callers-at=127.0.0.1:18227 >/dev/null 2>&1 &
+  -jar target/coltsfootvale-platform.jar >/dev/null 2>&1 &
 router=$!
 sleep 3
 kill "$router"
