Log ends of replicas and all shared parts of prompts

The log could not tell whether a closed connection meant that the replica had ended, nor which parts of a prompt were at it. request.accepted now has all shared parts, replica.ended is written once a replica refuses a new connection after a lost answer. No decision on requests changes.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestDescription.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestDescription.java
@@ -31,6 +31,11 @@
     prompt = List.copyOf(prompt);
   }
 
+  /** Returns the ids of the parts that other requests share, in order. */
+  public List<String> sharedPartIds() {
+    return prompt.stream().limit(Math.max(0, prompt.size() - 1)).map(PromptPart::id).toList();
+  }
+
   /** Returns the total tokens of the parts that other requests share. */
   public int sharedTokens() {
     int total = 0;
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
@@ -28,6 +28,8 @@
   REPLICA_DEPARTED("replica.departed", Category.CHANGE),
   /** A replica was unreachable and gets no new requests for now. */
   REPLICA_SUSPENDED("replica.suspended", Category.CHANGE),
+  /** A replica ended while it had requests: its connections closed and it refuses new ones. */
+  REPLICA_ENDED("replica.ended", Category.CHANGE),
   /** A replica requested a pause, during which it gets no new requests. */
   REPLICA_PAUSED("replica.paused", Category.CHANGE),
   /** The prompt parts that a replica caches were requested. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -24,6 +24,12 @@
 /** One attempt to get a request answered by a replica. Confined to the serving loop. */
 final class Attempt implements AnswerReceiver {
 
+  /**
+   * How long after its first part an answer counts as being written. A replica that ends earlier
+   * may have ended because of the request.
+   */
+  private static final Duration ANSWER_ESTABLISHED_AFTER = Duration.ofMillis(100);
+
   private final Exchange exchange;
   private final RequestLifecycle lifecycle;
   private final Exchange.Context context;
@@ -39,6 +45,7 @@
   private boolean begun;
   private boolean ended;
   private long lastReceivedNanos;
+  private long firstPartNanos;
 
   /**
    * Creates an attempt, not yet begun, at a replica whose slot is counted already.
@@ -251,6 +258,7 @@
   private void deliverPart(ByteBuf part) {
     if (!begun) {
       begun = true;
+      firstPartNanos = lastReceivedNanos;
       replica.onAnswerStarted(exchange);
     }
     boolean first = !lifecycle.answerBegun();
@@ -348,9 +356,19 @@
       return;
     }
     replica.health().onFailure();
+    if (!answerEstablished()) {
+      context
+          .endDetector()
+          .onUnansweredRequestLost(replica, exchange.description().sharedPartIds());
+    }
     lost(String.valueOf(cause.getMessage()));
   }
 
+  /** Returns whether the replica has been writing an answer for a while. */
+  private boolean answerEstablished() {
+    return begun && lastReceivedNanos - firstPartNanos >= ANSWER_ESTABLISHED_AFTER.toNanos();
+  }
+
   private void lost(String cause) {
     exchange.exclude(replicaId());
     exchange.carryOut(lifecycle.onAnswerLost(), HttpResponseStatus.BAD_GATEWAY, cause);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -49,6 +49,7 @@
       ReplicaTable replicas,
       AnswerWriter writer,
       LongSupplier nanoTime,
+      ReplicaEndDetector endDetector,
       DecisionLog log) {}
 
   private final Context context;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
@@ -47,6 +48,10 @@
             .with("desired_state", state.desiredStateVersion())
             .with("desired_state_age_millis", state.desiredStateAge().toMillis());
     organisation.ifPresent(owner -> decision.with("organisation", owner.name()));
+    List<String> parts = request.description().sharedPartIds();
+    if (!parts.isEmpty()) {
+      decision.with("parts", PartNames.join(parts));
+    }
     log.record(decision);
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
@@ -36,6 +36,7 @@
   private final ServingLoop loop;
   private final ReplicaTable replicas;
   private final AnswerWriter writer;
+  private final ReplicaEndDetector endDetector;
   private final LongSupplier nanoTime;
   private final DecisionLog log;
 
@@ -67,6 +68,7 @@
     this.loop = loop;
     this.replicas = replicas;
     this.writer = new AnswerWriter(protocol);
+    this.endDetector = new ReplicaEndDetector(state, links, log);
     this.nanoTime = nanoTime;
     this.log = log;
   }
@@ -143,7 +145,8 @@
     Duration timeLeft = requested.compareTo(route.timeout()) < 0 ? requested : route.timeout();
     Exchange exchange =
         new Exchange(
-            new Exchange.Context(state, protocol, links, loop, replicas, writer, nanoTime, log),
+            new Exchange.Context(
+                state, protocol, links, loop, replicas, writer, nanoTime, endDetector, log),
             caller,
             request,
             description,
