--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -1,10 +1,8 @@
 package org.coltsfootvale.router.serving;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.Optional;
@@ -202,8 +200,8 @@
       read.keepAlive().ifPresent(link::setIdleTimeout);
     }
     answer.begin(
-        lifecycle.route().streaming() && isSuccess(response),
-        lifecycle.route().resumable() || isEventStream(response));
+        lifecycle.route().streaming() && AnswerStatus.isSuccess(response),
+        lifecycle.route().resumable() || AnswerStatus.isEventStream(response));
     return true;
   }
 
@@ -302,7 +300,7 @@
       }
       exchange.exclude(replicaId());
       finishAndCarryOut(lifecycle.onRejected(), "rejected with status " + response.status().code());
-    } else if (!isSuccess(response)) {
+    } else if (!AnswerStatus.isSuccess(response)) {
       onFailureAnswer(response);
     } else if (!authenticSuccess() || answer.truncated()) {
       replica.health().onFailure();
@@ -326,7 +324,7 @@
       finishAndCarryOut(step, answered);
     } else if (lifecycle.answerBegun()) {
       finishAndCarryOut(NextStep.BREAK_OFF, answered);
-    } else if (promisesNotRun(status)) {
+    } else if (AnswerStatus.promisesNotRun(status)) {
       // The status would state that the request has not run, which the replica has not stated.
       finishAndCarryOut(NextStep.FAIL, answered);
     } else {
@@ -375,7 +373,10 @@
   }
 
   private boolean authenticSuccess() {
-    return head != null && isSuccess(head) && answerMetadata != null && authentic(answerMetadata);
+    return head != null
+        && AnswerStatus.isSuccess(head)
+        && answerMetadata != null
+        && authentic(answerMetadata);
   }
 
   private boolean authentic(AnswerMetadata metadata) {
@@ -395,23 +396,4 @@
       link.setAutoRead(on);
     }
   }
-
-  private static boolean isEventStream(HttpResponse response) {
-    return HttpUtil.getMimeType(response) != null
-        && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(
-            HttpUtil.getMimeType(response));
-  }
-
-  private static boolean isSuccess(HttpResponse response) {
-    int status = response.status().code();
-    return status >= 200 && status < 300;
-  }
-
-  /** Returns whether a status states to callers that the request has not run and never will. */
-  private static boolean promisesNotRun(int status) {
-    return status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
-        || status == HttpResponseStatus.TOO_MANY_REQUESTS.code()
-        || status == HttpResponseStatus.REQUEST_TIMEOUT.code()
-        || status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-  }
 }
