Keep prompts with a part that crashes replicas from further replicas

What callers saw: requests of one kind crashed one replica after the other; answers of sound requests beside them were cut.

Cause: a correlated failure carried by the request ("query of death"). Routers judged replicas alone, each crash made one replica look sick, and the next request with the part went to a sound one. No router remembered what a lost request held, and none told the others.

Change: core.quarantine attributes crashes to prompt parts. A part is suspected by the crashes at which a request with it had no answer, and cleared of all crashes before its latest answer; the part with the most crashes is convicted first, and crashes that it explains do not count against others. Crashes at the same moment count as one. Routers exchange crashes and the answers that clear their parts in RouterUpdate and decide alike. Requests with a convicted part are refused, waiting ones too; from the third crash on those without an answer are cancelled. Trials are single, become rarer and end.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
@@ -30,6 +30,14 @@
   REPLICA_SUSPENDED("replica.suspended", Category.CHANGE),
   /** A replica ended while it had requests: its connections closed and it refuses new ones. */
   REPLICA_ENDED("replica.ended", Category.CHANGE),
+  /** A prompt part is kept from replicas, as requests with it crash them. */
+  PROMPT_PART_QUARANTINED("prompt_part.quarantined", Category.CHANGE),
+  /** Requests with a prompt part in quarantine were cancelled at their replicas. */
+  PROMPT_PART_CONFIRMED("prompt_part.confirmed", Category.CHANGE),
+  /** A request with a prompt part in quarantine was sent to a replica as a trial. */
+  PROMPT_PART_TRIED("prompt_part.tried", Category.CHANGE),
+  /** A prompt part has left the quarantine. */
+  PROMPT_PART_RELEASED("prompt_part.released", Category.CHANGE),
   /** A replica requested a pause, during which it gets no new requests. */
   REPLICA_PAUSED("replica.paused", Category.CHANGE),
   /** The prompt parts that a replica caches were requested. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/DispatchRequest.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/DispatchRequest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.coltsfootvale.core.course.PromptPart;
 import org.coltsfootvale.core.course.RequestDescription;
+import org.coltsfootvale.core.quarantine.PartKey;
 import org.coltsfootvale.core.support.RendezvousHashing;
 
 /**
@@ -20,6 +21,7 @@
   private final long deadlineNanos;
   private final long latencyGoalNanos;
   private final List<SharedPrefix> sharedPrefixes;
+  private final List<String> partKeys;
   private final Set<String> excludedReplicaIds = new HashSet<>();
 
   /**
@@ -43,6 +45,7 @@
     this.deadlineNanos = deadlineNanos;
     this.latencyGoalNanos = goalNanos;
     this.sharedPrefixes = sharedPrefixes(description);
+    this.partKeys = description.sharedPartIds().stream().map(PartKey::of).distinct().toList();
   }
 
   /** Called when a replica is selected; its slot is already counted as used. */
@@ -69,6 +72,11 @@
     return sharedPrefixes;
   }
 
+  /** Returns the keys of the parts of the prompt that other requests share. */
+  public final List<String> partKeys() {
+    return partKeys;
+  }
+
   /** Returns the id of the last part of the prompt that other requests share; empty if none. */
   public final String sharedPartId() {
     List<PromptPart> prompt = description.prompt();
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.quarantine.PromptQuarantine;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.support.SlidingWindowCounter;
 import org.jspecify.annotations.Nullable;
@@ -37,6 +38,7 @@
 
   private final DispatchOptions options;
   private final PeerRequestCounts peers;
+  private final PromptQuarantine quarantine;
   private final LongSupplier nanoTime;
   private final UniformRandomProvider random;
   private final ReplicaSelectionStrategy prefixAffinity;
@@ -54,6 +56,7 @@
    * @param ownDataCentre the data centre of this router
    * @param locations the known locations of cached prompt parts
    * @param peers the requests placed by other routers
+   * @param quarantine decides which prompts may reach replicas
    * @param nanoTime the monotonic clock in nanoseconds
    * @param random breaks ties and spreads retry delays
    */
@@ -62,10 +65,12 @@
       String ownDataCentre,
       PromptCacheLocations locations,
       PeerRequestCounts peers,
+      PromptQuarantine quarantine,
       LongSupplier nanoTime,
       UniformRandomProvider random) {
     this.options = options;
     this.peers = peers;
+    this.quarantine = quarantine;
     this.nanoTime = nanoTime;
     this.random = random;
     this.locations = locations;
@@ -114,6 +119,11 @@
 
   /** Places a request, queues it, or refuses it. */
   public void submit(DispatchRequest request) {
+    Optional<Duration> quarantined = quarantine.refusal(request.partKeys());
+    if (quarantined.isPresent()) {
+      request.onRefused(new Refusal(Refusal.Reason.PROMPT_QUARANTINED, quarantined.get()));
+      return;
+    }
     Placement selection = selectReplica(request);
     if (selection != null) {
       place(request, selection);
@@ -176,6 +186,7 @@
 
   /** Places queued requests where possible and refuses those whose waiting time is over. */
   public void placeWaiting() {
+    refuseQuarantined();
     if (waiting.isEmpty()) {
       return;
     }
@@ -199,6 +210,19 @@
     }
   }
 
+  /** Refuses queued requests whose prompts were put into quarantine. */
+  private void refuseQuarantined() {
+    if (quarantine.convictions().isEmpty()) {
+      return;
+    }
+    for (DispatchRequest request : new ArrayList<>(waiting)) {
+      Optional<Duration> delay = quarantine.refusal(request.partKeys());
+      if (delay.isPresent() && waiting.remove(request)) {
+        request.onRefused(new Refusal(Refusal.Reason.PROMPT_QUARANTINED, delay.get()));
+      }
+    }
+  }
+
   /** Returns whether any replica is available and below a load per slot. */
   private boolean anyAvailable(double loadPerSlotMax) {
     long now = nanoTime.getAsLong();
@@ -233,6 +257,7 @@
     Placement placement = selection;
     if (!request.description().prompt().isEmpty()) {
       placement = selection.withCached(cachedPrefix(request, replica));
+      quarantine.onSent(request.partKeys());
       request.sharedPrefixes().forEach(prefix -> locations.recordPlacement(prefix.hash(), replica));
     }
     request.onPlaced(placement);
--- /dev/null
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/TrialSchedule.java
@@ -0,0 +1,50 @@
+package org.coltsfootvale.core.quarantine;
+
+import java.time.Duration;
+import java.util.Set;
+
+/**
+ * Determines when a request with a part in quarantine may be sent to a replica after all. Each
+ * trial that crashes a replica multiplies the time to the next one.
+ */
+final class TrialSchedule {
+
+  private static final Duration FIRST_DELAY = Duration.ofSeconds(15);
+  private static final int DELAY_FACTOR = 4;
+
+  /** The longest delay, at which it is no longer multiplied. */
+  static final Duration DELAY_MAX = Duration.ofHours(1);
+
+  /**
+   * The crashes up to which trials are made; the users allow three more than five, and two routers
+   * may make the same trial while the membership changes.
+   */
+  static final int CRASHES_MAX = 6;
+
+  private TrialSchedule() {}
+
+  /** Returns the time from the latest crash to the next trial. */
+  static Duration delay(Conviction conviction) {
+    Duration delay = FIRST_DELAY;
+    for (int i = CrashAttribution.INCIDENTS_NEVER_ANSWERED; i < conviction.incidents(); i++) {
+      delay = delay.multipliedBy(DELAY_FACTOR);
+      if (delay.compareTo(DELAY_MAX) > 0) {
+        return DELAY_MAX;
+      }
+    }
+    return delay;
+  }
+
+  /** Returns whether trials of a part are made without an operator. */
+  static boolean trialsLeft(Conviction conviction) {
+    return conviction.crashes().size() <= CRASHES_MAX;
+  }
+
+  /**
+   * Returns whether a request tells parts apart that no crash has told apart so far: it has one of
+   * them without the others.
+   */
+  static boolean distinguishes(Conviction conviction, Set<String> parts) {
+    return !parts.containsAll(conviction.indistinguishable());
+  }
+}
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
@@ -12,6 +12,8 @@
 import org.coltsfootvale.core.course.PromptPart;
 import org.coltsfootvale.core.course.RequestDescription;
 import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.quarantine.PromptQuarantine;
+import org.coltsfootvale.core.quarantine.RecordingQuarantineListener;
 import org.coltsfootvale.core.replica.Replica;
 import org.jspecify.annotations.Nullable;
 import org.testng.annotations.BeforeMethod;
@@ -26,6 +28,7 @@
   AtomicLong now = new AtomicLong();
   PromptCacheLocations locations = locations();
   PeerRequestCounts peers = peers();
+  PromptQuarantine quarantine = quarantine();
   ServiceDispatcher dispatcher = create();
 
   @BeforeMethod
@@ -33,6 +36,7 @@
     now = new AtomicLong(TimeUnit.SECONDS.toNanos(100));
     locations = locations();
     peers = peers();
+    quarantine = quarantine();
     dispatcher = create();
   }
 
@@ -82,6 +86,7 @@
         "dc",
         locations,
         peers,
+        quarantine,
         () -> now.get(),
         RandomSource.SPLIT_MIX_64.create(7L));
   }
@@ -90,6 +95,11 @@
     return new PromptCacheLocations(Duration.ofSeconds(60), () -> now.get());
   }
 
+  PromptQuarantine quarantine() {
+    return new PromptQuarantine(
+        () -> now.get(), () -> 0.5, part -> true, new RecordingQuarantineListener());
+  }
+
   PeerRequestCounts peers() {
     return new PeerRequestCounts(() -> Duration.ofSeconds(2), () -> now.get());
   }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/OverloadTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/OverloadTest.java
@@ -29,6 +29,7 @@
             "dc",
             locations,
             peers,
+            quarantine,
             () -> {
               clockReads.incrementAndGet();
               return now.get();
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -3,15 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import org.coltsfootvale.core.course.NextStep;
 import org.coltsfootvale.core.course.RequestLifecycle;
-import org.coltsfootvale.core.decision.Decision;
-import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.dispatch.ReplicaState;
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
 import org.coltsfootvale.core.model.HostPort;
@@ -36,13 +32,13 @@
   private final ReplicaState replica;
   private final Optional<HostPort> cacheSource;
   private final AnswerBody answer = new AnswerBody();
+  private final SilenceWatch silence;
   private @Nullable ReplicaConnection link;
   private @Nullable HttpResponse head;
   private @Nullable AnswerMetadata answerMetadata;
-  private @Nullable Future<?> silenceCheck;
   private boolean begun;
   private boolean ended;
-  private long lastReceivedNanos;
+  private boolean established;
   private long firstPartNanos;
 
   /**
@@ -64,9 +60,11 @@
     this.dispatcher = context.state().dispatcher(lifecycle.service());
     this.replica = replica;
     this.cacheSource = cacheSource;
+    this.silence = new SilenceWatch(context.loop(), context.nanoTime());
   }
 
   void begin() {
+    context.unanswered().add(this);
     boolean newConnection = !lifecycle.route().repeatable();
     ReplicaConnection pooled = context.links().acquire(replica, newConnection);
     if (pooled != null) {
@@ -108,36 +106,23 @@
       notReached("the replica accepts no new requests");
       return;
     }
-    lastReceivedNanos = context.nanoTime().getAsLong();
+    silence.onReceived();
     opened.send(exchange.requestFor(replica, cacheSource), this);
-    scheduleSilenceCheck();
+    watchForSilence();
   }
 
-  /** Schedules the check for silence if another replica may get the request. */
-  private void scheduleSilenceCheck() {
+  /** Watches for silence if another replica may get the request. */
+  private void watchForSilence() {
     boolean resendable = lifecycle.route().repeatable() || lifecycle.route().resumable();
-    if (ended || !resendable || lifecycle.sends() >= lifecycle.route().attemptsMax()) {
-      return;
+    if (!ended && resendable && lifecycle.sends() < lifecycle.route().attemptsMax()) {
+      silence.start(SilenceTimeout.of(lifecycle.route()), this::onSilent);
     }
-    long maxNanos = SilenceTimeout.of(lifecycle.route()).toNanos();
-    long restNanos = lastReceivedNanos + maxNanos - context.nanoTime().getAsLong();
-    silenceCheck =
-        context
-            .loop()
-            .eventLoop()
-            .schedule(this::onSilenceCheck, Math.max(0, restNanos), TimeUnit.NANOSECONDS);
   }
 
-  private void onSilenceCheck() {
-    if (ended) {
-      return;
-    }
-    long silentNanos = context.nanoTime().getAsLong() - lastReceivedNanos;
-    if (silentNanos >= SilenceTimeout.of(lifecycle.route()).toNanos()) {
+  private void onSilent() {
+    if (!ended) {
       replica.health().onFailure();
       lost("silent");
-    } else {
-      scheduleSilenceCheck();
     }
   }
 
@@ -146,14 +131,7 @@
   }
 
   private void suspend(String cause) {
-    Duration pause = replica.health().onConnectionFailure();
-    context
-        .log()
-        .record(
-            Decision.of(DecisionEvent.REPLICA_SUSPENDED, exchange.description().requestId())
-                .with("replica", replicaId())
-                .with("pause_millis", pause.toMillis())
-                .with("cause", cause));
+    exchange.log().replicaSuspended(replicaId(), replica.health().onConnectionFailure(), cause);
   }
 
   private void notReached(String cause) {
@@ -162,9 +140,8 @@
 
   void end() {
     ended = true;
-    if (silenceCheck != null) {
-      silenceCheck.cancel(false);
-    }
+    silence.stop();
+    context.unanswered().remove(this);
     if (link != null) {
       link.cancel();
     }
@@ -188,7 +165,7 @@
   @Override
   public boolean onHead(HttpResponse response) {
     AnswerMetadata read = context.protocol().answerMetadata(response);
-    lastReceivedNanos = context.nanoTime().getAsLong();
+    silence.onReceived();
     applyHints(response, read);
     if (read.requestId().filter(id -> !id.equals(exchange.description().requestId())).isPresent()) {
       return false;
@@ -218,21 +195,14 @@
   }
 
   private void pause(Duration requested) {
-    Duration applied = dispatcher.pause(replica, requested);
-    context
-        .log()
-        .record(
-            Decision.of(DecisionEvent.REPLICA_PAUSED, exchange.description().requestId())
-                .with("replica", replicaId())
-                .with("wanted_millis", requested.toMillis())
-                .with("pause_millis", applied.toMillis()));
+    exchange.log().replicaPaused(replicaId(), requested, dispatcher.pause(replica, requested));
   }
 
   @Override
   public void onContent(ByteBuf content) {
     answer.add(content);
     if (!answer.byEvents()) {
-      lastReceivedNanos = context.nanoTime().getAsLong();
+      silence.onReceived();
     }
     if (answer.streamed() && authenticSuccess()) {
       deliverParts();
@@ -246,7 +216,7 @@
   private void deliverParts() {
     ByteBuf part = answer.nextPart();
     while (part.isReadable() && !ended) {
-      lastReceivedNanos = context.nanoTime().getAsLong();
+      silence.onReceived();
       deliverPart(part);
       part = answer.nextPart();
     }
@@ -256,9 +226,12 @@
   private void deliverPart(ByteBuf part) {
     if (!begun) {
       begun = true;
-      firstPartNanos = lastReceivedNanos;
+      firstPartNanos = context.nanoTime().getAsLong();
       replica.onAnswerStarted(exchange);
     }
+    if (context.nanoTime().getAsLong() - firstPartNanos >= ANSWER_ESTABLISHED_AFTER.toNanos()) {
+      establish();
+    }
     boolean first = !lifecycle.answerBegun();
     if (lifecycle.route().resumable() && alreadyDelivered(part)) {
       return;
@@ -307,6 +280,7 @@
       lost("answer is incomplete or not authentic");
     } else {
       replica.health().onSuccess();
+      establish();
       complete(response);
     }
   }
@@ -354,17 +328,34 @@
       return;
     }
     replica.health().onFailure();
-    if (!answerEstablished()) {
-      context
-          .endDetector()
-          .onUnansweredRequestLost(replica, exchange.description().sharedPartIds());
+    if (!established) {
+      context.crashDetector().onUnansweredRequestLost(replica, exchange.partKeys());
     }
     lost(String.valueOf(cause.getMessage()));
   }
 
-  /** Returns whether the replica has been writing an answer for a while. */
-  private boolean answerEstablished() {
-    return begun && lastReceivedNanos - firstPartNanos >= ANSWER_ESTABLISHED_AFTER.toNanos();
+  /** Records that the replica has survived the beginning of its answer. */
+  private void establish() {
+    if (!established) {
+      established = true;
+      context.unanswered().remove(this);
+      context.state().quarantine().onAnswer(exchange.partKeys());
+    }
+  }
+
+  /** Returns whether the prompt has a part. */
+  boolean hasPart(String partKey) {
+    return exchange.partKeys().contains(partKey);
+  }
+
+  /** Ends the attempt, as a part of its prompt crashes replicas. */
+  void onQuarantined() {
+    String cause = "the prompt was put into quarantine";
+    if (lifecycle.mayHaveRun()) {
+      lost(cause);
+    } else {
+      notReached(cause);
+    }
   }
 
   private void lost(String cause) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -4,8 +4,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
@@ -18,6 +17,8 @@
 import org.coltsfootvale.core.dispatch.DispatchOptions;
 import org.coltsfootvale.core.dispatch.PeerRequestCounts;
 import org.coltsfootvale.core.dispatch.PromptCacheLocations;
+import org.coltsfootvale.core.quarantine.PromptQuarantine;
+import org.coltsfootvale.core.quarantine.TrialElection;
 import org.coltsfootvale.core.registry.LeasedKeyRenewer;
 import org.coltsfootvale.core.registry.LoopLagDetector;
 import org.coltsfootvale.core.registry.RelayTopology;
@@ -64,11 +65,6 @@
 
   private static final Duration SWEEP = Duration.ofMillis(250);
 
-  /** How many times its time to live callers may keep an answer. */
-  private static final int ANSWER_LIFETIMES = 3;
-
-  private static final Duration STOP_MARGIN = Duration.ofMillis(300);
-
   private final EntrySettings settings;
   private final ServingLoop loop;
   private final LongSupplier nanoTime = System::nanoTime;
@@ -76,6 +72,7 @@
   private final PromptCacheLocations locations;
   private final CacheInspection caches;
   private final PeerRequestCounts peerRequestCounts;
+  private final PromptQuarantine quarantine;
   private final ReplicaTable replicas;
   private final RouterRegistry registry;
   private final ReplicaConnectionPool links;
@@ -89,9 +86,8 @@
   private final List<HttpListener> auxiliaryListeners;
   private final Optional<MonitoringListener> monitoring;
   private final DecisionLog log;
-  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final GracefulStop gracefulStop;
   private boolean advertised;
-  private long stopBegunNanos;
 
   /**
    * Creates a router.
@@ -127,22 +123,17 @@
         new PeerRequestCounts(
             () -> UpdateTimings.timeToLive(topology.exchangeGroupSize()), nanoTime);
     lagDetector = new LoopLagDetector(TICK, nanoTime);
+    UnansweredAttempts unanswered = new UnansweredAttempts();
+    quarantine = quarantine(unanswered, random::nextDouble);
     state = servingState(random);
     store.era().logTo(this.log);
     replicas = new ReplicaTable(EXPIRY_GRACE, nanoTime, store.era()::latest, new ReplicaListener());
     departures = new DepartureUpdates(replicas, nanoTime);
     links = new ReplicaConnectionPool(loop, nanoTime);
-    RequestStarter starter =
-        new RequestStarter(
-            state,
-            protocol,
-            repeatBudget(settings, registry),
-            links,
-            loop,
-            replicas,
-            nanoTime,
-            this.log);
-    callers = new CallerListener(loop, settings.callerAddress(), starter, state, nanoTime);
+    callers =
+        new CallerListener(
+            loop, settings.callerAddress(), starter(protocol, unanswered), state, nanoTime);
+    gracefulStop = new GracefulStop(loop, state, callers::stop, nanoTime);
     PrefixFollowerFactory factory =
         new PrefixFollowerFactory(
             new HedgedReadStore(meteredStore, loop), loop, random::nextDouble, this.log);
@@ -171,13 +162,33 @@
     monitoring = monitoring(new MetricsPage(metrics, meteredStore));
   }
 
+  private RequestStarter starter(CallerProtocol protocol, UnansweredAttempts unanswered) {
+    return new RequestStarter(
+        state,
+        protocol,
+        repeatBudget(settings, registry),
+        links,
+        loop,
+        replicas,
+        unanswered,
+        nanoTime,
+        log);
+  }
+
   private FleetExchange fleetExchange(RelayTopology topology, UniformRandomProvider random) {
     return new FleetExchange(
         settings,
         loop,
         topology,
         new FleetUpdates(
-            registry, topology, state, locations, peerRequestCounts, followed, nanoTime),
+            registry,
+            topology,
+            state,
+            locations,
+            peerRequestCounts,
+            followed,
+            new QuarantineUpdates(quarantine, nanoTime),
+            nanoTime),
         new KnownPeers(registry, settings.peerAddress(), settings.seeds(), random::nextDouble),
         locations,
         peerRequestCounts,
@@ -201,6 +212,14 @@
         log);
   }
 
+  private PromptQuarantine quarantine(UnansweredAttempts unanswered, DoubleSupplier random) {
+    return new PromptQuarantine(
+        nanoTime,
+        random,
+        new TrialElection(settings.id(), () -> fleetExchange.activePeerIds()),
+        new QuarantineEnforcer(unanswered, nanoTime, log));
+  }
+
   private void onStoreRecovered() {
     followed.replicas().onStoreRecovered();
     followed.routers().onStoreRecovered();
@@ -221,6 +240,7 @@
         settings.dataCentre(),
         locations,
         peerRequestCounts,
+        quarantine,
         nanoTime,
         random,
         log,
@@ -344,19 +364,11 @@
         () -> {
           log.record(
               Decision.of(DecisionEvent.PROCESS_STOPPING).with("in_progress", state.active()));
-          stopBegunNanos = nanoTime.getAsLong();
-          state.drain();
           advertisement.stop();
-          awaitEnd();
+          gracefulStop.begin();
         });
-    try {
-      boolean inTime =
-          stopped.await(
-              settings.stopTimeout().minus(STOP_MARGIN).toMillis(), TimeUnit.MILLISECONDS);
-      log.record(Decision.of(DecisionEvent.PROCESS_STOPPED).with("in_time", inTime));
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    boolean inTime = gracefulStop.await(settings.stopTimeout());
+    log.record(Decision.of(DecisionEvent.PROCESS_STOPPED).with("in_time", inTime));
     loop.stop();
   }
 
@@ -365,21 +377,6 @@
     loop.stop();
   }
 
-  private void awaitEnd() {
-    Duration answersLive =
-        EntryPoints.TIME_TO_LIVE.multipliedBy(ANSWER_LIFETIMES).plus(STOP_MARGIN);
-    boolean answersExpired = nanoTime.getAsLong() - stopBegunNanos >= answersLive.toNanos();
-    if (answersExpired) {
-      // No caller is directed here any more; a request accepted now might not be completed in time.
-      callers.stop();
-    }
-    if (answersExpired && state.active() == 0) {
-      stopped.countDown();
-    } else {
-      loop.schedule(TICK, this::awaitEnd);
-    }
-  }
-
   /** Updates the serving state, and informs the other routers of announced departures. */
   private final class ReplicaListener implements ReplicaTable.Listener {
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -49,7 +49,8 @@
       ReplicaTable replicas,
       AnswerWriter writer,
       LongSupplier nanoTime,
-      ReplicaEndDetector endDetector,
+      ReplicaCrashDetector crashDetector,
+      UnansweredAttempts unanswered,
       DecisionLog log) {}
 
   private final Context context;
@@ -114,6 +115,11 @@
     return ended;
   }
 
+  /** Returns the log of the decisions on the request. */
+  ExchangeLog log() {
+    return log;
+  }
+
   private void place() {
     waiting = true;
     dispatcher.submit(this);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
@@ -91,6 +91,24 @@
     log.record(decision);
   }
 
+  void replicaSuspended(String replica, Duration pause, String cause) {
+    log.record(
+        aboutReplica(DecisionEvent.REPLICA_SUSPENDED, replica)
+            .with("pause_millis", pause.toMillis())
+            .with("cause", cause));
+  }
+
+  void replicaPaused(String replica, Duration requested, Duration applied) {
+    log.record(
+        aboutReplica(DecisionEvent.REPLICA_PAUSED, replica)
+            .with("wanted_millis", requested.toMillis())
+            .with("pause_millis", applied.toMillis()));
+  }
+
+  private Decision aboutReplica(DecisionEvent event, String replica) {
+    return Decision.of(event, request.description().requestId()).with("replica", replica);
+  }
+
   void attemptFailed(String replica, String cause, NextStep next) {
     log.record(
         decision(DecisionEvent.ATTEMPT_FAILED)
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -265,6 +265,7 @@
                     if (failure == null) {
                       RouterUpdate update = reply.getServingNews();
                       updates.recordParts(update);
+                      updates.recordQuarantine(update);
                       departures.onUpdate(update);
                       storeExchange.requestIfLater(peer, update.getDesiredStateVersion());
                     } else {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetUpdates.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetUpdates.java
@@ -37,6 +37,7 @@
   private final PromptCacheLocations locations;
   private final PeerRequestCounts peerRequestCounts;
   private final FollowedPrefixes followed;
+  private final QuarantineUpdates quarantine;
   private final LongSupplier nanoTime;
   private final Map<String, PeerStatus> peerStatuses = new HashMap<>();
   private final List<PromptCacheLocations.PartLocation> ownParts = new ArrayList<>();
@@ -57,6 +58,7 @@
       PromptCacheLocations locations,
       PeerRequestCounts peerRequestCounts,
       FollowedPrefixes followed,
+      QuarantineUpdates quarantine,
       LongSupplier nanoTime) {
     this.registry = registry;
     this.topology = topology;
@@ -64,6 +66,7 @@
     this.locations = locations;
     this.peerRequestCounts = peerRequestCounts;
     this.followed = followed;
+    this.quarantine = quarantine;
     this.nanoTime = nanoTime;
     this.updateThrottle = new UpdateThrottle(nanoTime);
   }
@@ -72,6 +75,10 @@
   void onUpdate(String peer, RouterUpdate update) {
     recordParts(update);
     recordPauses(update);
+    quarantine.onUpdate(update);
+    if (!peerStatuses.containsKey(peer)) {
+      quarantine.republish();
+    }
     boolean ownRelay = topology.relay().filter(relay -> relay.id().equals(peer)).isPresent();
     if (update.getScope() == RouterUpdate.Scope.FLEET && !ownRelay) {
       // The sums of this peer are already part of those from this router's relay.
@@ -121,6 +128,11 @@
     partsOf(update).forEach(locations::onPeerPlacement);
   }
 
+  /** Records the evidence about prompt parts that crash replicas. */
+  void recordQuarantine(RouterUpdate update) {
+    quarantine.onUpdate(update);
+  }
+
   private void collectForRelaying(RouterUpdate update) {
     if (update.getScope() == RouterUpdate.Scope.ROUTER && !topology.fullMesh()) {
       reportedParts.addAll(partsOf(update));
@@ -209,7 +221,11 @@
             state.desiredStateVersion(),
             followed.all().stream().map(PrefixFollower::latestChange).toList(),
             state.pauses().keySet());
-    boolean urgent = !ownParts.isEmpty() || !recentDepartures.isEmpty() || !latest.equals(lastSent);
+    boolean urgent =
+        !ownParts.isEmpty()
+            || !recentDepartures.isEmpty()
+            || quarantine.pending()
+            || !latest.equals(lastSent);
     lastSent = latest;
     return updateThrottle.shouldPublish(urgent, !sentInFlight.equals(state.inFlightByReplica()));
   }
@@ -253,7 +269,9 @@
 
   /** Returns a full update for a router that has just begun to report to this one. */
   RouterUpdate ofFleetWithAllParts(List<ReplicaDeparture> departures) {
-    return ofFleet(departures, locations.all());
+    RouterUpdate.Builder update = ofFleet(departures, locations.all()).toBuilder();
+    quarantine.addAllTo(update);
+    return update.build();
   }
 
   /** Returns the placed prompt parts and all departures, for a router that has just started. */
@@ -262,6 +280,7 @@
         RouterUpdate.newBuilder()
             .addAllDepartures(departures)
             .setDesiredStateVersion(state.desiredStateVersion());
+    quarantine.addAllTo(update);
     locations
         .all()
         .forEach(placed -> update.addParts(placed.part()).addPartReplicas(placed.cache()));
@@ -311,6 +330,7 @@
         .forEach(
             (replica, left) ->
                 update.addPausedReplicas(replica).addPausedMillis((int) left.toMillis()));
+    quarantine.addRecentTo(update);
     return update
         .addAllDepartures(recentDepartures)
         .setDesiredStateVersion(state.desiredStateVersion());
--- /dev/null
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/QuarantineUpdates.java
@@ -0,0 +1,93 @@
+package org.coltsfootvale.router.serving;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.quarantine.PartAnswer;
+import org.coltsfootvale.core.quarantine.PromptQuarantine;
+import org.coltsfootvale.core.quarantine.ReplicaCrash;
+import org.coltsfootvale.protocol.wire.RouterUpdate;
+
+/**
+ * Exchanges the evidence of the quarantine between routers. Times are sent as ages, as the clocks
+ * of routers differ. Confined to the serving loop.
+ */
+final class QuarantineUpdates {
+
+  private final PromptQuarantine quarantine;
+  private final LongSupplier nanoTime;
+
+  QuarantineUpdates(PromptQuarantine quarantine, LongSupplier nanoTime) {
+    this.quarantine = quarantine;
+    this.nanoTime = nanoTime;
+  }
+
+  /** Returns whether there is evidence that the other routers may not have received yet. */
+  boolean pending() {
+    return !quarantine.recentCrashes().isEmpty() || !quarantine.recentAnswers().isEmpty();
+  }
+
+  /** Sends all evidence again, for a router that was out of contact. */
+  void republish() {
+    quarantine.republish();
+  }
+
+  void addRecentTo(RouterUpdate.Builder update) {
+    add(update, quarantine.recentCrashes(), quarantine.recentAnswers());
+  }
+
+  void addAllTo(RouterUpdate.Builder update) {
+    add(update, quarantine.allCrashes(), quarantine.allAnswers());
+  }
+
+  private void add(
+      RouterUpdate.Builder update, List<ReplicaCrash> crashes, List<PartAnswer> answers) {
+    update.clearCrashes().clearPartAnswers();
+    for (ReplicaCrash crash : crashes) {
+      update.addCrashes(
+          org.coltsfootvale.protocol.wire.ReplicaCrash.newBuilder()
+              .setId(crash.replica().id())
+              .setBornMillis(crash.replica().startedMillis())
+              .setAddress(crash.address().toString())
+              .setAgeMillis(ageMillis(crash.atNanos()))
+              .addAllParts(crash.parts()));
+    }
+    for (PartAnswer answer : answers) {
+      update.addPartAnswers(
+          org.coltsfootvale.protocol.wire.PartAnswer.newBuilder()
+              .setPart(answer.part())
+              .setAgeMillis(ageMillis(answer.atNanos())));
+    }
+  }
+
+  /** Applies the evidence in an update from another router. */
+  void onUpdate(RouterUpdate update) {
+    // Answers come first, so that crashes before them convict no part.
+    update
+        .getPartAnswersList()
+        .forEach(
+            answer ->
+                quarantine.onAnswer(
+                    new PartAnswer(answer.getPart(), atNanos(answer.getAgeMillis()))));
+    update
+        .getCrashesList()
+        .forEach(
+            crash ->
+                quarantine.onCrash(
+                    new ReplicaCrash(
+                        new ReplicaCrash.Incarnation(crash.getId(), crash.getBornMillis()),
+                        HostPort.parse(crash.getAddress()),
+                        Set.copyOf(crash.getPartsList()),
+                        atNanos(crash.getAgeMillis()))));
+  }
+
+  private long ageMillis(long nanos) {
+    return Math.max(0, Duration.ofNanos(nanoTime.getAsLong() - nanos).toMillis());
+  }
+
+  private long atNanos(long ageMillis) {
+    return nanoTime.getAsLong() - Duration.ofMillis(ageMillis).toNanos();
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ReplicaEndDetector.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ReplicaCrashDetector.java
@@ -7,10 +7,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.WeakHashMap;
+import java.util.function.LongSupplier;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.dispatch.ReplicaState;
+import org.coltsfootvale.core.quarantine.ReplicaCrash;
 import org.coltsfootvale.router.http.ReplicaConnection;
 import org.coltsfootvale.router.http.ReplicaConnectionPool;
 import org.jspecify.annotations.Nullable;
@@ -21,18 +23,21 @@
  * connection as well. A replica that announced its departure, is silent or cannot be reached is not
  * taken for ended. Confined to the serving loop.
  */
-final class ReplicaEndDetector {
+final class ReplicaCrashDetector {
 
   private final ServingState state;
   private final ReplicaConnectionPool links;
+  private final LongSupplier nanoTime;
   private final DecisionLog log;
 
   /** The requests lost at each replica; a replica is a new key after each restart. */
   private final Map<ReplicaState, Losses> lossesByReplica = new WeakHashMap<>();
 
-  ReplicaEndDetector(ServingState state, ReplicaConnectionPool links, DecisionLog log) {
+  ReplicaCrashDetector(
+      ServingState state, ReplicaConnectionPool links, LongSupplier nanoTime, DecisionLog log) {
     this.state = state;
     this.links = links;
+    this.nanoTime = nanoTime;
     this.log = log;
   }
 
@@ -40,13 +45,14 @@
    * Records that a request was sent to a replica and its connection closed without an answer or
    * soon after the beginning of one.
    *
-   * @param parts the shared parts of its prompt
+   * @param parts the keys of the shared parts of its prompt
    */
   void onUnansweredRequestLost(ReplicaState replica, List<String> parts) {
     if (parts.isEmpty()) {
       return;
     }
-    Losses losses = lossesByReplica.computeIfAbsent(replica, absent -> new Losses());
+    Losses losses =
+        lossesByReplica.computeIfAbsent(replica, absent -> new Losses(nanoTime.getAsLong()));
     losses.requests++;
     losses.parts.addAll(parts);
     if (losses.ended) {
@@ -85,6 +91,15 @@
             .with("service", replica.replica().service())
             .with("requests_lost", losses.requests)
             .with("parts", PartNames.join(losses.parts)));
+    state
+        .quarantine()
+        .onCrash(
+            new ReplicaCrash(
+                new ReplicaCrash.Incarnation(
+                    replica.replica().id(), replica.replica().startedMillis()),
+                replica.replica().address(),
+                losses.parts,
+                losses.firstNanos));
   }
 
   /** The unanswered requests lost at one replica. */
@@ -92,7 +107,12 @@
 
     private final Set<String> parts = new LinkedHashSet<>();
     private int requests;
+    private final long firstNanos;
     private boolean probing;
     private boolean ended;
+
+    Losses(long firstNanos) {
+      this.firstNanos = firstNanos;
+    }
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
@@ -36,7 +36,8 @@
   private final ServingLoop loop;
   private final ReplicaTable replicas;
   private final AnswerWriter writer;
-  private final ReplicaEndDetector endDetector;
+  private final ReplicaCrashDetector crashDetector;
+  private final UnansweredAttempts unanswered;
   private final LongSupplier nanoTime;
   private final DecisionLog log;
 
@@ -49,6 +50,7 @@
    * @param links the connections to replicas
    * @param loop runs timers
    * @param replicas receives the departures that replicas announce in answers
+   * @param unanswered the attempts that a quarantine cancels
    * @param nanoTime the monotonic clock in nanoseconds
    * @param log records the decisions on requests
    */
@@ -59,6 +61,7 @@
       ReplicaConnectionPool links,
       ServingLoop loop,
       ReplicaTable replicas,
+      UnansweredAttempts unanswered,
       LongSupplier nanoTime,
       DecisionLog log) {
     this.state = state;
@@ -68,7 +71,8 @@
     this.loop = loop;
     this.replicas = replicas;
     this.writer = new AnswerWriter(protocol);
-    this.endDetector = new ReplicaEndDetector(state, links, log);
+    this.crashDetector = new ReplicaCrashDetector(state, links, nanoTime, log);
+    this.unanswered = unanswered;
     this.nanoTime = nanoTime;
     this.log = log;
   }
@@ -146,7 +150,16 @@
     Exchange exchange =
         new Exchange(
             new Exchange.Context(
-                state, protocol, links, loop, replicas, writer, nanoTime, endDetector, log),
+                state,
+                protocol,
+                links,
+                loop,
+                replicas,
+                writer,
+                nanoTime,
+                crashDetector,
+                unanswered,
+                log),
             caller,
             request,
             description,
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
@@ -17,6 +17,7 @@
 import org.coltsfootvale.core.dispatch.PromptCacheLocations;
 import org.coltsfootvale.core.dispatch.ReplicaState;
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
+import org.coltsfootvale.core.quarantine.PromptQuarantine;
 import org.coltsfootvale.core.registry.LoopLagDetector;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
@@ -42,6 +43,7 @@
   private final String ownDataCentre;
   private final PromptCacheLocations locations;
   private final PeerRequestCounts peerRequestCounts;
+  private final PromptQuarantine quarantine;
   private final LongSupplier nanoTime;
   private final UniformRandomProvider random;
   private final DecisionLog log;
@@ -59,6 +61,7 @@
    * @param ownDataCentre the data centre of this router
    * @param locations where prompt parts are cached
    * @param peerRequestCounts the requests of other routers at each replica
+   * @param quarantine the prompt parts that are kept from replicas
    * @param nanoTime the monotonic clock in nanoseconds
    * @param random breaks ties
    * @param log records changes of the view
@@ -69,6 +72,7 @@
       String ownDataCentre,
       PromptCacheLocations locations,
       PeerRequestCounts peerRequestCounts,
+      PromptQuarantine quarantine,
       LongSupplier nanoTime,
       UniformRandomProvider random,
       DecisionLog log,
@@ -77,6 +81,7 @@
     this.ownDataCentre = ownDataCentre;
     this.locations = locations;
     this.peerRequestCounts = peerRequestCounts;
+    this.quarantine = quarantine;
     this.nanoTime = nanoTime;
     this.random = random;
     this.log = log;
@@ -126,7 +131,13 @@
         service,
         name ->
             new ServiceDispatcher(
-                options, ownDataCentre, locations, peerRequestCounts, nanoTime, random));
+                options,
+                ownDataCentre,
+                locations,
+                peerRequestCounts,
+                quarantine,
+                nanoTime,
+                random));
   }
 
   @Override
@@ -197,6 +208,11 @@
     return engines;
   }
 
+  /** Returns the prompt parts that are kept from replicas. */
+  PromptQuarantine quarantine() {
+    return quarantine;
+  }
+
   /** Returns the dispatchers by the names of their services. */
   Map<String, ServiceDispatcher> dispatchers() {
     return Collections.unmodifiableMap(dispatchers);
@@ -204,6 +220,7 @@
 
   /** Places waiting requests. */
   public void tick() {
+    quarantine.expire();
     dispatchers.values().forEach(ServiceDispatcher::placeWaiting);
   }
 
