Blame the prompt part that was never answered, not its companion

A part to which no answer is known is now convicted before one with answers, and parts count as indistinguishable if the crashes at which only one of them was present would not convict it; one request with some of them tells them apart. Both tests fail before.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/Conviction.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/Conviction.java
@@ -9,7 +9,8 @@
  * @param part the id of the part
  * @param crashes the crashes that it explains, the earliest first
  * @param incidents the number of separate moments at which they occurred
- * @param indistinguishable the parts, this one included, that were present at the same crashes
+ * @param indistinguishable the parts, this one included, of which any may be the cause, as they
+ *     were mostly present at the same crashes
  */
 public record Conviction(
     String part, List<ReplicaCrash> crashes, int incidents, Set<String> indistinguishable) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/CrashAttribution.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/CrashAttribution.java
@@ -7,18 +7,18 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.coltsfootvale.core.model.HostPort;
 
 /**
  * Attributes crashes of replicas to prompt parts. A part is suspected by the crashes at which a
  * request with it had no answer, and cleared of all crashes before its latest answer. The part with
- * the most crashes is convicted first; crashes that it explains do not count against the others.
+ * the strongest evidence is convicted first; crashes that it explains do not count against others.
  */
 final class CrashAttribution {
 
@@ -50,33 +50,34 @@
    */
   static Map<String, Conviction> convictions(
       Collection<ReplicaCrash> crashes, Function<String, Optional<Long>> latestAnswer) {
-    Map<String, List<ReplicaCrash>> suspects = suspects(crashes, latestAnswer);
+    List<Suspect> suspects = suspects(crashes, latestAnswer);
     Map<String, Conviction> convictions = new LinkedHashMap<>();
-    Optional<Conviction> next = strongest(suspects, latestAnswer);
+    Optional<Suspect> next = strongest(suspects);
     while (next.isPresent()) {
-      Conviction conviction = next.get();
-      for (String part : conviction.indistinguishable()) {
+      Suspect strongest = next.get();
+      List<Suspect> alike = suspects.stream().filter(strongest::indistinguishable).toList();
+      Set<String> parts = alike.stream().map(Suspect::part).collect(Collectors.toSet());
+      Set<ReplicaCrash> explained = new HashSet<>();
+      for (Suspect suspect : alike) {
+        explained.addAll(suspect.crashes());
         convictions.put(
-            part,
-            new Conviction(
-                part,
-                conviction.crashes(),
-                conviction.incidents(),
-                conviction.indistinguishable()));
+            suspect.part(),
+            new Conviction(suspect.part(), suspect.crashes(), incidents(suspect.crashes()), parts));
       }
-      Set<ReplicaCrash> explained = new HashSet<>(conviction.crashes());
-      suspects.keySet().removeAll(conviction.indistinguishable());
-      suspects.replaceAll(
-          (part, present) -> present.stream().filter(crash -> !explained.contains(crash)).toList());
-      next = strongest(suspects, latestAnswer);
+      suspects =
+          suspects.stream()
+              .filter(suspect -> !parts.contains(suspect.part()))
+              .map(suspect -> suspect.without(explained))
+              .toList();
+      next = strongest(suspects);
     }
     return convictions;
   }
 
-  /** Returns the crashes since its latest answer for each part, the earliest first. */
-  private static Map<String, List<ReplicaCrash>> suspects(
+  /** Returns the parts with their crashes since the latest answer, the earliest crash first. */
+  private static List<Suspect> suspects(
       Collection<ReplicaCrash> crashes, Function<String, Optional<Long>> latestAnswer) {
-    Map<String, List<ReplicaCrash>> suspects = new HashMap<>();
+    Map<String, List<ReplicaCrash>> crashesByPart = new HashMap<>();
     crashes.stream()
         .sorted(BY_TIME)
         .forEach(
@@ -84,36 +85,25 @@
               for (String part : crash.parts()) {
                 Optional<Long> answer = latestAnswer.apply(part);
                 if (answer.isEmpty() || crash.atNanos() - answer.get() > 0) {
-                  suspects.computeIfAbsent(part, absent -> new ArrayList<>()).add(crash);
+                  crashesByPart.computeIfAbsent(part, absent -> new ArrayList<>()).add(crash);
                 }
               }
             });
+    List<Suspect> suspects = new ArrayList<>();
+    crashesByPart.forEach(
+        (part, present) ->
+            suspects.add(new Suspect(part, present, latestAnswer.apply(part).isPresent())));
     return suspects;
   }
 
-  private static Optional<Conviction> strongest(
-      Map<String, List<ReplicaCrash>> suspects, Function<String, Optional<Long>> latestAnswer) {
-    return suspects.entrySet().stream()
-        .filter(entry -> convicts(entry.getValue(), latestAnswer.apply(entry.getKey()).isPresent()))
+  /** Returns the convicted part with the strongest evidence: without an answer, then by crashes. */
+  private static Optional<Suspect> strongest(List<Suspect> suspects) {
+    return suspects.stream()
+        .filter(Suspect::convicted)
         .max(
-            Comparator.comparingInt(
-                    (Map.Entry<String, List<ReplicaCrash>> entry) -> entry.getValue().size())
-                .thenComparing(entry -> latestAnswer.apply(entry.getKey()).isEmpty())
-                .thenComparing(Map.Entry::getKey))
-        .map(
-            entry -> {
-              boolean answered = latestAnswer.apply(entry.getKey()).isPresent();
-              Set<String> same = new LinkedHashSet<>();
-              suspects.forEach(
-                  (part, present) -> {
-                    if (present.equals(entry.getValue())
-                        && latestAnswer.apply(part).isPresent() == answered) {
-                      same.add(part);
-                    }
-                  });
-              return new Conviction(
-                  entry.getKey(), entry.getValue(), incidents(entry.getValue()), same);
-            });
+            Comparator.comparing((Suspect suspect) -> !suspect.answered())
+                .thenComparingInt(suspect -> suspect.crashes().size())
+                .thenComparing(Suspect::part));
   }
 
   private static boolean convicts(List<ReplicaCrash> crashes, boolean answered) {
@@ -139,4 +129,34 @@
     }
     return incidents;
   }
+
+  /**
+   * A part with the crashes that it may explain.
+   *
+   * @param part the id of the part
+   * @param crashes the crashes since its latest answer, the earliest first
+   * @param answered whether an answer to a request with the part is known
+   */
+  private record Suspect(String part, List<ReplicaCrash> crashes, boolean answered) {
+
+    boolean convicted() {
+      return convicts(crashes, answered);
+    }
+
+    /**
+     * Returns whether either part may be the cause: the crashes at which only one of them was
+     * present do not suffice to convict that one.
+     */
+    boolean indistinguishable(Suspect other) {
+      return answered == other.answered
+          && other.convicted()
+          && !without(other.crashes).convicted()
+          && !other.without(crashes).convicted();
+    }
+
+    Suspect without(Collection<ReplicaCrash> explained) {
+      return new Suspect(
+          part, crashes.stream().filter(crash -> !explained.contains(crash)).toList(), answered);
+    }
+  }
 }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/PromptQuarantineTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/PromptQuarantineTest.java
@@ -97,6 +97,29 @@
     assertAllowed(SUBJECT);
   }
 
+  @Test
+  public void aPartThatWasAnsweredIsNotBlamedForOneThatNeverWas() {
+    quarantine.onAnswer(List.of(SUBJECT));
+    for (int i = 0; i < 6; i++) {
+      crash(SUBJECT, FATAL);
+    }
+    crash(SUBJECT);
+    assertRefused(SUBJECT, FATAL);
+    assertAllowed(SUBJECT);
+  }
+
+  @Test
+  public void oneUnrelatedCrashDoesNotHideThePartThatExplainsTheOthers() {
+    crash(SUBJECT, FATAL);
+    crash(SUBJECT, FATAL);
+    crash(SUBJECT);
+    assertRefused(SUBJECT, FATAL);
+    assertRefused(FATAL, "other-subject", SUBJECT);
+    assertAllowed(SUBJECT);
+    quarantine.onAnswer(List.of(SUBJECT));
+    assertRefused(FATAL, "other-subject");
+  }
+
   @Test
   public void twoPartsThatCrashReplicasAreBothQuarantined() {
     crash(ROOT, FATAL);
