Take an unframed stream without an event for lost, and its crash for a crash

A stream of that kind that ended before its first event was delivered as complete and empty; a replica that crashed within its first event showed as an incomplete answer and gave no evidence against the prompt.

Such a stream is answered with 502, as it may have run, and a lost unframed answer is followed by the check whether the replica has ended. What an attempt shows of its prompt is collected in AttemptEvidence.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerStatus.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerStatus.java
@@ -16,6 +16,11 @@
             HttpUtil.getMimeType(response));
   }
 
+  /** Returns whether an answer has neither a length nor chunks. */
+  static boolean endsWithConnection(HttpResponse response) {
+    return !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+  }
+
   static boolean isSuccess(HttpResponse response) {
     int status = response.status().code();
     return status >= 200 && status < 300;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.coltsfootvale.core.course.NextStep;
@@ -18,12 +17,6 @@
 /** One attempt to get a request answered by a replica. Confined to the serving loop. */
 final class Attempt implements AnswerReceiver {
 
-  /**
-   * How long after its first part an answer counts as being written. A replica that ends earlier
-   * may have ended because of the request.
-   */
-  private static final Duration ANSWER_ESTABLISHED_AFTER = Duration.ofMillis(100);
-
   private final Exchange exchange;
   private final RequestLifecycle lifecycle;
   private final Exchange.Context context;
@@ -33,13 +26,12 @@
   private final Optional<HostPort> cacheSource;
   private final AnswerBody answer = new AnswerBody();
   private final SilenceWatch silence;
+  private final AttemptEvidence evidence;
   private @Nullable ReplicaConnection link;
   private @Nullable HttpResponse head;
   private @Nullable AnswerMetadata answerMetadata;
   private boolean begun;
   private boolean ended;
-  private boolean established;
-  private long firstPartNanos;
 
   /**
    * Creates an attempt, not yet begun, at a replica whose slot is counted already.
@@ -61,10 +53,11 @@
     this.replica = replica;
     this.cacheSource = cacheSource;
     this.silence = new SilenceWatch(context.loop(), context.nanoTime());
+    this.evidence = new AttemptEvidence(this, context, replica, exchange.partKeys());
   }
 
   void begin() {
-    context.unanswered().add(this);
+    evidence.onBegun();
     boolean newConnection = !lifecycle.route().repeatable();
     ReplicaConnection pooled = context.links().acquire(replica, newConnection);
     if (pooled != null) {
@@ -141,7 +134,7 @@
   void end() {
     ended = true;
     silence.stop();
-    context.unanswered().remove(this);
+    evidence.onEnded();
     if (link != null) {
       link.cancel();
     }
@@ -191,11 +184,13 @@
     if (metadata.leaving()) {
       context.replicas().onDepartureAnnounced(replicaId(), replica.replica().startedMillis());
     }
-    metadata.pause().ifPresent(this::pause);
-  }
-
-  private void pause(Duration requested) {
-    exchange.log().replicaPaused(replicaId(), requested, dispatcher.pause(replica, requested));
+    metadata
+        .pause()
+        .ifPresent(
+            wanted ->
+                exchange
+                    .log()
+                    .replicaPaused(replicaId(), wanted, dispatcher.pause(replica, wanted)));
   }
 
   @Override
@@ -226,12 +221,9 @@
   private void deliverPart(ByteBuf part) {
     if (!begun) {
       begun = true;
-      firstPartNanos = context.nanoTime().getAsLong();
       replica.onAnswerStarted(exchange);
     }
-    if (context.nanoTime().getAsLong() - firstPartNanos >= ANSWER_ESTABLISHED_AFTER.toNanos()) {
-      establish();
-    }
+    evidence.onPart();
     boolean first = !lifecycle.answerBegun();
     if (lifecycle.route().resumable() && alreadyDelivered(part)) {
       return;
@@ -275,12 +267,15 @@
       finishAndCarryOut(lifecycle.onRejected(), "rejected with status " + response.status().code());
     } else if (!AnswerStatus.isSuccess(response)) {
       onFailureAnswer(response);
-    } else if (!authenticSuccess() || answer.truncated()) {
+    } else if (!authenticSuccess() || answer.truncated() || endedBeforeFirstEvent(response)) {
       replica.health().onFailure();
+      if (AnswerStatus.endsWithConnection(response)) {
+        evidence.onLost();
+      }
       lost("answer is incomplete or not authentic");
     } else {
       replica.health().onSuccess();
-      establish();
+      evidence.onAnswered();
       complete(response);
     }
   }
@@ -328,19 +323,13 @@
       return;
     }
     replica.health().onFailure();
-    if (!established) {
-      context.crashDetector().onUnansweredRequestLost(replica, exchange.partKeys());
-    }
+    evidence.onLost();
     lost(String.valueOf(cause.getMessage()));
   }
 
-  /** Records that the replica has survived the beginning of its answer. */
-  private void establish() {
-    if (!established) {
-      established = true;
-      context.unanswered().remove(this);
-      context.state().quarantine().onAnswer(exchange.partKeys());
-    }
+  /** Returns whether a stream without framing has no event, so that its end is not credible. */
+  private boolean endedBeforeFirstEvent(HttpResponse response) {
+    return answer.byEvents() && !begun && AnswerStatus.endsWithConnection(response);
   }
 
   /** Returns whether the prompt has a part. */
