Show the quarantine of prompt parts to operators, and let them release a part

A refusal names the parts in quarantine, the state dump and a gauge show them, and DELETE /quarantine/PART beside the state dump releases one at all routers for who holds the fleet's secret.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/PromptQuarantine.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/PromptQuarantine.java
@@ -144,6 +144,10 @@
 
   /** Records an answer; one that clears its part of a known crash is published. */
   public void onAnswer(PartAnswer answer) {
+    onAnswer(answer, QuarantineListener.ReleaseCause.ANSWERED);
+  }
+
+  private void onAnswer(PartAnswer answer, QuarantineListener.ReleaseCause cause) {
     Optional<Long> known = latestAnswer(answer.part());
     if (known.filter(atNanos -> answer.atNanos() - atNanos <= 0).isPresent()) {
       return;
@@ -158,15 +162,20 @@
       recentAnswers.add(answer.part());
     }
     if (convictions.containsKey(answer.part())) {
-      evaluate(QuarantineListener.ReleaseCause.ANSWERED);
+      evaluate(cause);
     }
   }
 
-  /** Releases a part by hand; it counts as answered now. */
+  /**
+   * Releases a part by hand at all routers: it counts as answered now.
+   *
+   * @return whether the part was in quarantine
+   */
   public boolean release(String part) {
     boolean released = convictions.containsKey(part);
     if (released) {
-      onAnswer(new PartAnswer(part, nanoTime.getAsLong()));
+      onAnswer(
+          new PartAnswer(part, nanoTime.getAsLong()), QuarantineListener.ReleaseCause.OPERATOR);
     }
     return released;
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/QuarantineListener.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/QuarantineListener.java
@@ -11,6 +11,8 @@
     ANSWERED,
     /** Another part explains the crashes. */
     EXPLAINED,
+    /** An operator released it at this router. */
+    OPERATOR,
     /** No request with the part has come for a long time. */
     EXPIRED
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -113,7 +113,7 @@
     this.loop = loop;
     // Constructed directly, as the factory of random sources takes a tenth of the start-up time.
     UniformRandomProvider random = new SplitMix64(System.nanoTime());
-    RouterAdvertisement self = advertisementOf(settings);
+    RouterAdvertisement self = settings.advertisement();
     registry = new RouterRegistry(self, EXPIRY_GRACE, nanoTime);
     RelayTopology topology = new RelayTopology(registry, nanoTime);
     locations = new PromptCacheLocations(CACHE_LIFE, nanoTime);
@@ -225,15 +225,6 @@
     followed.routers().onStoreRecovered();
   }
 
-  private static RouterAdvertisement advertisementOf(EntrySettings settings) {
-    return new RouterAdvertisement(
-        settings.id(),
-        settings.dataCentre(),
-        settings.callerAddress(),
-        settings.peerAddress(),
-        settings.capacityCores());
-  }
-
   private ServingState servingState(UniformRandomProvider random) {
     return new ServingState(
         DispatchOptions.defaults(),
@@ -252,7 +243,16 @@
         new StateReport(state, registry, peerRequestCounts, followed.all(), this::ready, nanoTime);
     return settings
         .metrics()
-        .map(at -> new MonitoringListener(loop, at.address(), at.path(), page, report));
+        .map(
+            at ->
+                new MonitoringListener(
+                    loop,
+                    at.address(),
+                    at.path(),
+                    page,
+                    report,
+                    quarantine.quarantine(),
+                    settings.fleetSecret()));
   }
 
   private static RepeatBudget repeatBudget(EntrySettings settings, RouterRegistry registry) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.support.Checks;
 import org.coltsfootvale.protocol.PeerTransport;
 
@@ -78,4 +79,9 @@
         metrics,
         capacityCores);
   }
+
+  /** Returns what the router tells others of itself. */
+  RouterAdvertisement advertisement() {
+    return new RouterAdvertisement(id, dataCentre, callerAddress, peerAddress, capacityCores);
+  }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -206,7 +206,7 @@
   }
 
   private void refuse(Refusal refusal) {
-    log.refused(refusal, dispatcher);
+    log.refused(refusal, dispatcher, context.state().quarantine());
     end();
     context.writer().refuse(caller, refusal);
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
@@ -17,6 +17,7 @@
 import org.coltsfootvale.core.dispatch.Refusal;
 import org.coltsfootvale.core.dispatch.ReplicaState;
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
+import org.coltsfootvale.core.quarantine.PromptQuarantine;
 import org.coltsfootvale.core.routing.Organisation;
 
 /** Records the decisions on one request with their inputs. */
@@ -127,13 +128,21 @@
     log.record(ended(DecisionEvent.REQUEST_COMPLETED).with("status", status.code()));
   }
 
-  void refused(Refusal refusal, ServiceDispatcher dispatcher) {
-    log.record(
+  void refused(Refusal refusal, ServiceDispatcher dispatcher, PromptQuarantine quarantine) {
+    Decision decision =
         ended(DecisionEvent.REQUEST_REFUSED)
             .with("reason", refusal.reason().name())
             .with("retry_after_millis", refusal.retryAfter().toMillis())
             .with("queue_length", dispatcher.waiting())
-            .with("replicas", dispatcher.replicas().size()));
+            .with("replicas", dispatcher.replicas().size());
+    if (refusal.reason() == Refusal.Reason.PROMPT_QUARANTINED) {
+      decision.with("parts", quarantinedParts(quarantine));
+    }
+    log.record(decision);
+  }
+
+  private String quarantinedParts(PromptQuarantine quarantine) {
+    return PartNames.join(request.partKeys().stream().filter(quarantine::quarantined).toList());
   }
 
   void failed(HttpResponseStatus status) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/MonitoringListener.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/MonitoringListener.java
@@ -6,10 +6,13 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.DefaultEventExecutorGroup;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
@@ -17,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.quarantine.PromptQuarantine;
 import org.coltsfootvale.core.support.Service;
 import org.coltsfootvale.router.http.HttpEndpointHandler;
 import org.coltsfootvale.router.http.HttpListener;
@@ -24,10 +28,14 @@
 import org.coltsfootvale.router.metrics.GaugeSample;
 import org.coltsfootvale.router.metrics.MetricsPage;
 
-/** Serves metrics and the state dump, which are rendered on a separate thread. */
+/**
+ * Serves metrics and the state dump, which are rendered on a separate thread, and lets operators
+ * release prompt parts from quarantine.
+ */
 final class MonitoringListener implements Service {
 
   private static final String STATE_PATH = "/state";
+  private static final String QUARANTINE_PATH = "/quarantine/";
 
   /** Maximum time to wait for the serving loop, which responds within milliseconds normally. */
   private static final long SNAPSHOT_TIMEOUT_MILLIS = 2_000;
@@ -36,6 +44,8 @@
   private final String metricsPath;
   private final MetricsPage page;
   private final StateReport report;
+  private final PromptQuarantine quarantine;
+  private final String releaseSecret;
   private final DefaultEventExecutorGroup renderer = new DefaultEventExecutorGroup(1);
   private final HttpListener listener;
 
@@ -44,11 +54,15 @@
       HostPort address,
       String metricsPath,
       MetricsPage page,
-      StateReport report) {
+      StateReport report,
+      PromptQuarantine quarantine,
+      String releaseSecret) {
     this.loop = loop;
     this.metricsPath = metricsPath;
     this.page = page;
     this.report = report;
+    this.quarantine = quarantine;
+    this.releaseSecret = releaseSecret;
     this.listener = new HttpListener(loop, address, this::setUp);
   }
 
@@ -69,6 +83,9 @@
 
   private FullHttpResponse answer(FullHttpRequest request) {
     try {
+      if (request.uri().startsWith(QUARANTINE_PATH)) {
+        return release(request);
+      }
       if (request.uri().equals(metricsPath)) {
         List<GaugeSample> readings = onLoop(report::readings);
         return text(HttpResponseStatus.OK, "text/plain; version=0.0.4", page.render(readings));
@@ -91,6 +108,30 @@
     }
   }
 
+  private FullHttpResponse release(FullHttpRequest request)
+      throws ExecutionException, TimeoutException, InterruptedException {
+    if (!request.method().equals(HttpMethod.DELETE)) {
+      return text(HttpResponseStatus.METHOD_NOT_ALLOWED, "text/plain", "DELETE releases a part\n");
+    }
+    String authorization = request.headers().get(HttpHeaderNames.AUTHORIZATION, "");
+    if (!MessageDigest.isEqual(bytes(authorization), bytes("Bearer " + releaseSecret))) {
+      return text(
+          HttpResponseStatus.UNAUTHORIZED,
+          "text/plain",
+          "give the fleet's secret as a bearer token\n");
+    }
+    String part =
+        URLDecoder.decode(
+            request.uri().substring(QUARANTINE_PATH.length()), StandardCharsets.UTF_8);
+    return onLoop(() -> quarantine.release(part))
+        ? text(HttpResponseStatus.OK, "text/plain", "released at all routers in contact\n")
+        : text(HttpResponseStatus.NOT_FOUND, "text/plain", "the part is not in quarantine\n");
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
   private <T> T onLoop(Callable<T> task)
       throws ExecutionException, TimeoutException, InterruptedException {
     Future<T> result = loop.eventLoop().submit(task);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
@@ -11,6 +11,7 @@
 import org.coltsfootvale.core.dispatch.PeerRequestCounts;
 import org.coltsfootvale.core.dispatch.ReplicaState;
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
+import org.coltsfootvale.core.quarantine.Conviction;
 import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.support.Json;
@@ -59,6 +60,9 @@
         GaugeSample.of(
             "coltsfootvale.desired.state.age.seconds",
             state.desiredStateAge().toMillis() / MILLIS_PER_SECOND));
+    readings.add(
+        GaugeSample.of(
+            "coltsfootvale.prompt.parts.quarantined", state.quarantine().convictions().size()));
     for (PrefixFollower follower : followers) {
       readings.add(
           new GaugeSample(
@@ -106,6 +110,10 @@
         .forEach(router -> routers.add(router.id() + " " + router.callerAddress()));
     dump.put("routers_known", registry.size());
     dump.put("peers_heard", peerRequestCounts.activePeerCount());
+    ArrayNode quarantined = dump.putArray("quarantine");
+    state.quarantine().convictions().stream()
+        .limit(ENTRIES_MAX)
+        .forEach(conviction -> describe(quarantined.addObject(), conviction));
     ObjectNode services = dump.putObject("services");
     state
         .dispatchers()
@@ -113,6 +121,16 @@
     return dump.toPrettyString() + "\n";
   }
 
+  private void describe(ObjectNode entry, Conviction conviction) {
+    entry.put("part", conviction.part());
+    entry.put("incidents", conviction.incidents());
+    entry.put("latest_crash_age_millis", millis(nanoTime.getAsLong() - conviction.latestNanos()));
+    ArrayNode replicas = entry.putArray("replicas");
+    conviction.crashes().forEach(crash -> replicas.add(crash.replica().id()));
+    ArrayNode alike = entry.putArray("indistinguishable");
+    conviction.indistinguishable().forEach(alike::add);
+  }
+
   private void describe(ObjectNode service, ServiceDispatcher dispatcher) {
     service.put("waiting", dispatcher.waiting());
     service.put("replicas_known", dispatcher.replicas().size());
