Bound the evidence of the quarantine without losing what explains it

Many crashes without a fatal part could evict those behind a quarantine and end it; the test fails before. A router that gets sums from a relay that is not its own no longer publishes all evidence at each of them, and an unreadable record in the store is ignored with a warning.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -212,7 +212,7 @@
 
   /** Refuses queued requests whose prompts were put into quarantine. */
   private void refuseQuarantined() {
-    if (quarantine.convictions().isEmpty()) {
+    if (quarantine.isEmpty()) {
       return;
     }
     for (DispatchRequest request : new ArrayList<>(waiting)) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/PromptQuarantine.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/PromptQuarantine.java
@@ -22,7 +22,7 @@
 public final class PromptQuarantine {
 
   private static final int CRASHES_MAX = 256;
-  private static final int PARTS_PER_CRASH_MAX = 256;
+  private static final int PARTS_PER_CRASH_MAX = 512;
   private static final int ANSWERED_PARTS_MAX = 8_192;
 
   /** How long a crash counts, and a part in quarantine is remembered after its last request. */
@@ -40,9 +40,16 @@
   private final DoubleSupplier random;
   private final Predicate<String> makesTrials;
   private final QuarantineListener listener;
-  private final Map<ReplicaCrash.Incarnation, ReplicaCrash> crashes =
-      boundedMap(CRASHES_MAX, false);
-  private final Map<String, Long> answers = boundedMap(ANSWERED_PARTS_MAX, true);
+  private final Map<ReplicaCrash.Incarnation, ReplicaCrash> crashes = new LinkedHashMap<>();
+  private final Map<String, Long> answers =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > ANSWERED_PARTS_MAX;
+        }
+      };
   private final Map<String, Long> latestCrashes = new HashMap<>();
   private final Map<String, Long> requestedNanos = new HashMap<>();
   private final Map<String, Long> triedNanos = new HashMap<>();
@@ -73,17 +80,6 @@
     this.expiredNanos = nanoTime.getAsLong();
   }
 
-  private static <K, V> Map<K, V> boundedMap(int entriesMax, boolean byAccess) {
-    return new LinkedHashMap<>(16, 0.75f, byAccess) {
-      private static final long serialVersionUID = 1L;
-
-      @Override
-      protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
-        return size() > entriesMax;
-      }
-    };
-  }
-
   /**
    * Records a crash that this router or a peer has observed. Reports of the same crash are merged.
    */
@@ -94,6 +90,7 @@
       return;
     }
     crashes.put(crash.replica(), merged);
+    evictCrash();
     boolean newParts = known == null || !known.parts().equals(merged.parts());
     if (newParts) {
       publish(merged);
@@ -101,6 +98,23 @@
     evaluate(QuarantineListener.ReleaseCause.EXPLAINED);
   }
 
+  /** Evicts the oldest crash beyond the capacity; those that explain a quarantine are kept. */
+  private void evictCrash() {
+    if (crashes.size() > CRASHES_MAX) {
+      Set<ReplicaCrash.Incarnation> explained = new HashSet<>();
+      convictions
+          .values()
+          .forEach(
+              conviction -> conviction.crashes().forEach(crash -> explained.add(crash.replica())));
+      ReplicaCrash.Incarnation oldest =
+          crashes.keySet().stream()
+              .filter(replica -> !explained.contains(replica))
+              .findFirst()
+              .orElseGet(() -> crashes.keySet().iterator().next());
+      crashes.remove(oldest);
+    }
+  }
+
   private static ReplicaCrash merge(ReplicaCrash known, ReplicaCrash crash) {
     Set<String> parts = new HashSet<>(known.parts());
     parts.addAll(crash.parts());
@@ -307,6 +321,11 @@
     return List.copyOf(convictions.values());
   }
 
+  /** Returns whether no part is in quarantine. */
+  public boolean isEmpty() {
+    return convictions.isEmpty();
+  }
+
   /** Returns whether a part is in quarantine. */
   public boolean quarantined(String part) {
     return convictions.containsKey(part);
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/PromptQuarantineTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/PromptQuarantineTest.java
@@ -230,6 +230,16 @@
     assertEquals(listener.quarantined, List.of());
   }
 
+  @Test
+  public void manyLaterCrashesDoNotEndAQuarantine() {
+    crash(FATAL);
+    crash(FATAL);
+    for (int i = 0; i < 2_000; i++) {
+      crash("crashed" + i);
+    }
+    assertTrue(quarantine.quarantined(FATAL));
+  }
+
   @Test
   public void evidenceIsPublishedForAWhile() {
     quarantine.onAnswer(List.of(ROOT));
@@ -245,6 +255,17 @@
     assertEquals(quarantine.recentAnswers(), List.of());
   }
 
+  @Test
+  public void evidenceIsPublishedAgainForARouterThatWasOutOfContact() {
+    quarantine.onAnswer(List.of(ROOT));
+    crash(ROOT, FATAL);
+    advance(60_000);
+    assertEquals(quarantine.recentCrashes(), List.of());
+    quarantine.republish();
+    assertEquals(quarantine.recentCrashes(), quarantine.allCrashes());
+    assertEquals(quarantine.recentAnswers(), quarantine.allAnswers());
+  }
+
   private void assertAllowed(String... parts) {
     assertTrue(quarantine.refusal(List.of(parts)).isEmpty());
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetUpdates.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetUpdates.java
@@ -76,9 +76,6 @@
     recordParts(update);
     recordPauses(update);
     quarantine.onUpdate(update);
-    if (!peerStatuses.containsKey(peer)) {
-      quarantine.republish();
-    }
     boolean ownRelay = topology.relay().filter(relay -> relay.id().equals(peer)).isPresent();
     if (update.getScope() == RouterUpdate.Scope.FLEET && !ownRelay) {
       // The sums of this peer are already part of those from this router's relay.
@@ -93,6 +90,9 @@
     peerRequestCounts.onUpdate(peer, inFlight);
     collectForRelaying(update);
     PeerStatus previous = peerStatuses.get(peer);
+    if (previous == null) {
+      quarantine.republish();
+    }
     Set<Long> routers =
         update.getRoutersCount() > 0 || previous == null
             ? Set.copyOf(update.getRoutersList())
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoredQuarantine.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoredQuarantine.java
@@ -106,7 +106,7 @@
       updates.merge(
           record.getCrashesList(),
           Duration.ofMillis(Math.max(0, clock.millis() - record.getWrittenMillis())));
-    } catch (InvalidProtocolBufferException e) {
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       LOGGER.atWarning().withCause(e).log(
           "the stored quarantine is unreadable and is ignored; the next change overwrites it");
     }
