--- a/config/class-list.sh
+++ b/config/class-list.sh
@@ -5,7 +5,7 @@
 settings=$1
 list=platform/src/main/cds/classes.lst
 parts=$(mktemp -d)
-mvn -B -ntp -q package -pl platform -am -Dtest='RequestPathTest,LifecycleTest,RelayedFleetTest,RestoredStoreTest' \
+mvn -B -ntp -q package -pl platform -am -Dtest='RequestPathTest,LifecycleTest,RelayedFleetTest,RestoredStoreTest,PromptPartCrashTest' \
   -Dsurefire.failIfNoSpecifiedTests=false \
   -Dsurefire.argLine="-XX:+UseSerialGC -XX:DumpLoadedClassList=$parts/path.lst" >/dev/null 2>&1
 COLTSFOOTVALE_CONFIG=$settings COLTSFOOTVALE_FLEET_SECRET=only-for-the-class-list COLTSFOOTVALE_METRICS=19464/metrics \
