Try a part at one router only if it explains more crashes than the others

A part that explains more crashes than those it has to be told apart from is tried by one elected router, 5 s apart. The test fails before. The test oneUnrelatedCrash... now waits these 5 s for the sound request: the trace above shows that it may not be let through at once.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/PromptQuarantine.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/PromptQuarantine.java
@@ -30,9 +30,18 @@
 
   private static final Duration EXPIRY_INTERVAL = Duration.ofSeconds(10);
 
-  /** The interval between two requests of this router that tell the same parts apart. */
+  /**
+   * The interval between two requests of this router that tell a part apart from others that
+   * explain as many crashes.
+   */
   private static final Duration DISTINGUISHING_INTERVAL = Duration.ofSeconds(1);
 
+  /**
+   * The interval between two requests of the fleet that tell a part apart from others that explain
+   * fewer crashes.
+   */
+  private static final Duration MORE_SUSPECT_INTERVAL = Duration.ofSeconds(5);
+
   private static final Duration RETRY_DELAY_MIN = Duration.ofSeconds(5);
   private static final Duration RETRY_DELAY_MAX = Duration.ofMinutes(2);
 
@@ -268,16 +277,35 @@
   }
 
   private boolean allowsTrial(Conviction conviction, Set<String> parts) {
-    long now = nanoTime.getAsLong();
-    Long tried = triedNanos.get(conviction.part());
-    if (TrialSchedule.distinguishes(conviction, parts)) {
-      return tried == null || now - tried >= DISTINGUISHING_INTERVAL.toNanos();
+    Set<String> others = new HashSet<>(conviction.indistinguishable());
+    others.removeAll(parts);
+    int crashesOfOthers = others.stream().mapToInt(this::crashCount).max().orElse(0);
+    if (others.isEmpty()) {
+      return due(conviction, TrialSchedule.delay(conviction))
+          && TrialSchedule.trialsLeft(conviction)
+          && makesTrials.test(conviction.part());
+    }
+    if (conviction.crashes().size() > crashesOfOthers) {
+      return due(conviction, MORE_SUSPECT_INTERVAL) && makesTrials.test(conviction.part());
     }
-    long delayNanos = TrialSchedule.delay(conviction).toNanos();
-    boolean due =
-        now - conviction.latestNanos() >= delayNanos
-            && (tried == null || now - tried >= delayNanos);
-    return due && TrialSchedule.trialsLeft(conviction) && makesTrials.test(conviction.part());
+    Long tried = triedNanos.get(conviction.part());
+    return tried == null || elapsedSince(tried, DISTINGUISHING_INTERVAL);
+  }
+
+  private int crashCount(String part) {
+    Conviction conviction = convictions.get(part);
+    return conviction == null ? 0 : conviction.crashes().size();
+  }
+
+  /** Returns whether neither a crash nor a trial has occurred within an interval. */
+  private boolean due(Conviction conviction, Duration interval) {
+    Long tried = triedNanos.get(conviction.part());
+    return elapsedSince(conviction.latestNanos(), interval)
+        && (tried == null || elapsedSince(tried, interval));
+  }
+
+  private boolean elapsedSince(long nanos, Duration interval) {
+    return nanoTime.getAsLong() - nanos >= interval.toNanos();
   }
 
   private Duration untilTrial(Conviction conviction) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/TrialSchedule.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/TrialSchedule.java
@@ -1,7 +1,6 @@
 package org.coltsfootvale.core.quarantine;
 
 import java.time.Duration;
-import java.util.Set;
 
 /**
  * Determines when a request with a part in quarantine may be sent to a replica after all. Each
@@ -39,12 +38,4 @@
   static boolean trialsLeft(Conviction conviction) {
     return conviction.crashes().size() <= CRASHES_MAX;
   }
-
-  /**
-   * Returns whether a request tells parts apart that no crash has told apart so far: it has one of
-   * them without the others.
-   */
-  static boolean distinguishes(Conviction conviction, Set<String> parts) {
-    return !parts.containsAll(conviction.indistinguishable());
-  }
 }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/PromptQuarantineTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/PromptQuarantineTest.java
@@ -115,11 +115,22 @@
     crash(SUBJECT);
     assertRefused(SUBJECT, FATAL);
     assertRefused(FATAL, "other-subject", SUBJECT);
+    advance(5_000);
     assertAllowed(SUBJECT);
     quarantine.onAnswer(List.of(SUBJECT));
     assertRefused(FATAL, "other-subject");
   }
 
+  @Test
+  public void aPartWithMoreCrashesThanTheOthersIsNotTriedToTellThemApart() {
+    crash(SUBJECT, FATAL);
+    crash(SUBJECT, FATAL);
+    assertAllowed("other-subject", FATAL);
+    crash("other-subject", FATAL);
+    assertRefused("third-subject", FATAL);
+    assertAllowed(SUBJECT);
+  }
+
   @Test
   public void twoPartsThatCrashReplicasAreBothQuarantined() {
     crash(ROOT, FATAL);
