--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/CrashAttribution.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/CrashAttribution.java
@@ -26,7 +26,7 @@
    * Crashes within this time count as one incident: hosts fail together, and routers detect the
    * same failure some ten milliseconds apart.
    */
-  static final Duration INCIDENT_SPAN = Duration.ofMillis(150);
+  static final Duration INCIDENT_SPAN = Duration.ofMillis(80);
 
   /** The incidents that convict a part to which no answer is known. */
   static final int INCIDENTS_NEVER_ANSWERED = 2;
