--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -5,6 +5,7 @@
 import org.coltsfootvale.verify.memory.MemoryCommand;
 import org.coltsfootvale.verify.policy.LimitsCommand;
 import org.coltsfootvale.verify.policy.PolicyCommand;
+import org.coltsfootvale.verify.quarantine.QuarantineCommand;
 import org.coltsfootvale.verify.slopes.SlopesCommand;
 
 /** Command line entry point of the measurements. */
@@ -27,6 +28,7 @@
       case "memory" -> new MemoryCommand(System.out).run();
       case "policy" -> new PolicyCommand(System.out).run(rest);
       case "limits" -> new LimitsCommand(System.out).run(rest);
+      case "quarantine" -> new QuarantineCommand(System.out).run();
       case "slopes" -> slopes(rest);
       default -> usage();
     };
@@ -39,7 +41,8 @@
 
   private static int usage() {
     System.err.println(
-        "commands: cost | limits | memory | policy | slopes [--gossip KIND] [--routers N] [--seed S]");
+        "commands: cost | limits | memory | policy | quarantine"
+            + " | slopes [--gossip KIND] [--routers N] [--seed S]");
     return EXIT_USAGE;
   }
 }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/SimulatedFleet.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/quarantine/CrashingFleet.java
@@ -1,32 +1,48 @@
-package org.coltsfootvale.core.quarantine;
+package org.coltsfootvale.verify.quarantine;
 
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.coltsfootvale.core.model.HostPort;
+import org.coltsfootvale.core.quarantine.Conviction;
+import org.coltsfootvale.core.quarantine.PartAnswer;
+import org.coltsfootvale.core.quarantine.PromptQuarantine;
+import org.coltsfootvale.core.quarantine.QuarantineListener;
+import org.coltsfootvale.core.quarantine.ReplicaCrash;
 
 /**
  * Replays generated load against the quarantines of several routers: sound requests, requests with
  * a part that crashes replicas, replicas that crash by themselves or together, and updates between
  * routers that arrive late.
  */
-final class SimulatedFleet {
+final class CrashingFleet {
 
-  /** What a run varies. */
+  /**
+   * What a run varies.
+   *
+   * @param name the name of the load
+   * @param routers the number of routers
+   * @param replicas the number of replicas
+   * @param fatalShare the share of requests with the fatal part
+   * @param fatalSubjects the number of subjects that these requests share with sound ones
+   * @param massCrashes how often half of the replicas crash at one moment
+   * @param ownCrashesPerSecond the rate of crashes that no request causes
+   */
   record Load(
-      long seed,
+      String name,
       int routers,
       int replicas,
       double fatalShare,
       int fatalSubjects,
       int massCrashes,
-      double ownCrashes) {}
+      double ownCrashesPerSecond) {}
 
   /** Which mechanisms are switched off, to show that the checks depend on them. */
   enum Ablation {
@@ -35,6 +51,22 @@
     NO_EXONERATION
   }
 
+  private static final QuarantineListener IGNORED =
+      new QuarantineListener() {
+
+        @Override
+        public void onQuarantined(Conviction conviction, Optional<Long> answerNanos) {}
+
+        @Override
+        public void onConfirmed(Conviction conviction) {}
+
+        @Override
+        public void onReleased(String part, ReleaseCause cause) {}
+
+        @Override
+        public void onTrial(Conviction conviction) {}
+      };
+
   private static final double REQUESTS_PER_SECOND = 40;
   private static final int SUBJECTS = 30;
   private static final long TICK_MILLIS = 50;
@@ -58,14 +90,13 @@
   private final List<Long> fatalSendMillis = new ArrayList<>();
   private long nowMillis;
   private long order;
-  int soundRefused;
-  int soundSent;
-  int fatalRefused;
+  private int soundRefused;
+  private int soundSent;
 
-  SimulatedFleet(Load load, Ablation ablation) {
+  CrashingFleet(Load load, long seed, Ablation ablation) {
     this.load = load;
     this.ablation = ablation;
-    this.random = RandomSource.SPLIT_MIX_64.create(load.seed());
+    this.random = RandomSource.SPLIT_MIX_64.create(seed);
     for (int i = 0; i < load.routers(); i++) {
       int index = i;
       routers.add(
@@ -73,7 +104,7 @@
               () -> TimeUnit.MILLISECONDS.toNanos(1_000_000 + nowMillis),
               random::nextDouble,
               part -> index == 0,
-              new RecordingQuarantineListener()));
+              IGNORED));
     }
     for (int i = 0; i < load.replicas(); i++) {
       replicas.add(new Replica(i));
@@ -81,13 +112,13 @@
   }
 
   /** Runs the day and returns this fleet. */
-  SimulatedFleet run() {
+  CrashingFleet run() {
     at(0, this::arrive);
     at(TICK_MILLIS, this::exchange);
     for (int i = 0; i < load.massCrashes(); i++) {
       at(random.nextLong(END_MILLIS), this::crashHalf);
     }
-    for (int i = 0; i < load.ownCrashes() * END_MILLIS / 1_000; i++) {
+    for (int i = 0; i < load.ownCrashesPerSecond() * END_MILLIS / 1_000; i++) {
       at(random.nextLong(END_MILLIS), () -> crash(replicas.get(random.nextInt(replicas.size()))));
     }
     while (!events.isEmpty() && events.peek().atMillis() < END_MILLIS) {
@@ -107,6 +138,16 @@
     return fatalSendMillis.stream().filter(sent -> sent > from).count();
   }
 
+  /** Returns the number of sound requests that were sent to a replica. */
+  int soundSent() {
+    return soundSent;
+  }
+
+  /** Returns the number of sound requests that were refused because of the quarantine. */
+  int soundRefused() {
+    return soundRefused;
+  }
+
   private void at(long millis, Runnable action) {
     events.add(new Event(millis, order++, action));
   }
@@ -123,7 +164,6 @@
     int router = random.nextInt(routers.size());
     List<Replica> alive = replicas.stream().filter(replica -> replica.alive).toList();
     if (routers.get(router).refusal(parts).isPresent()) {
-      fatalRefused += fatal ? 1 : 0;
       soundRefused += fatal ? 0 : 1;
     } else if (!alive.isEmpty()) {
       send(alive.get(random.nextInt(alive.size())), new Request(router, parts, fatal));
