--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/CrashAttribution.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/CrashAttribution.java
@@ -18,7 +18,7 @@
 /**
  * Attributes crashes of replicas to prompt parts. A part is suspected by the crashes at which a
  * request with it had no answer, and cleared of all crashes before its latest answer. The part with
- * the strongest evidence is convicted first; crashes that it explains do not count against others.
+ * the strongest evidence is taken first; crashes that it explains do not count against others.
  */
 final class CrashAttribution {
 
@@ -28,13 +28,13 @@
    */
   static final Duration INCIDENT_SPAN = Duration.ofMillis(80);
 
-  /** The incidents that convict a part to which no answer is known. */
+  /** The incidents that put a part into quarantine to which no answer is known. */
   static final int INCIDENTS_NEVER_ANSWERED = 2;
 
-  /** The incidents since its latest answer that convict a part. */
+  /** The incidents since its latest answer that put a part into quarantine. */
   static final int INCIDENTS_SINCE_ANSWER = 3;
 
-  /** The incidents that convict a part if the same replica crashed each time. */
+  /** The incidents that put a part into quarantine if the same replica crashed each time. */
   static final int INCIDENTS_AT_ONE_ADDRESS = 4;
 
   private static final Comparator<ReplicaCrash> BY_TIME =
@@ -43,15 +43,15 @@
   private CrashAttribution() {}
 
   /**
-   * Returns the convicted parts by their ids.
+   * Returns the parts to quarantine by their ids.
    *
    * @param crashes the known crashes
    * @param latestAnswer returns the time of the latest answer to a request with a part, if any
    */
-  static Map<String, Conviction> convictions(
+  static Map<String, QuarantinedPart> quarantinedParts(
       Collection<ReplicaCrash> crashes, Function<String, Optional<Long>> latestAnswer) {
     List<Suspect> suspects = suspects(crashes, latestAnswer);
-    Map<String, Conviction> convictions = new LinkedHashMap<>();
+    Map<String, QuarantinedPart> quarantinedParts = new LinkedHashMap<>();
     Optional<Suspect> next = strongest(suspects);
     while (next.isPresent()) {
       Suspect strongest = next.get();
@@ -60,9 +60,10 @@
       Set<ReplicaCrash> explained = new HashSet<>();
       for (Suspect suspect : alike) {
         explained.addAll(suspect.crashes());
-        convictions.put(
+        quarantinedParts.put(
             suspect.part(),
-            new Conviction(suspect.part(), suspect.crashes(), incidents(suspect.crashes()), parts));
+            new QuarantinedPart(
+                suspect.part(), suspect.crashes(), incidents(suspect.crashes()), parts));
       }
       suspects =
           suspects.stream()
@@ -71,7 +72,7 @@
               .toList();
       next = strongest(suspects);
     }
-    return convictions;
+    return quarantinedParts;
   }
 
   /** Returns the parts with their crashes since the latest answer, the earliest crash first. */
@@ -96,17 +97,19 @@
     return suspects;
   }
 
-  /** Returns the convicted part with the strongest evidence: without an answer, then by crashes. */
+  /**
+   * Returns the part to quarantine with the strongest evidence: without an answer, then by crashes.
+   */
   private static Optional<Suspect> strongest(List<Suspect> suspects) {
     return suspects.stream()
-        .filter(Suspect::convicted)
+        .filter(Suspect::sufficient)
         .max(
             Comparator.comparing((Suspect suspect) -> !suspect.answered())
                 .thenComparingInt(suspect -> suspect.crashes().size())
                 .thenComparing(Suspect::part));
   }
 
-  private static boolean convicts(List<ReplicaCrash> crashes, boolean answered) {
+  private static boolean suffices(List<ReplicaCrash> crashes, boolean answered) {
     int incidents = incidents(crashes);
     int needed = answered ? INCIDENTS_SINCE_ANSWER : INCIDENTS_NEVER_ANSWERED;
     if (incidents >= INCIDENTS_AT_ONE_ADDRESS) {
@@ -139,19 +142,19 @@
    */
   private record Suspect(String part, List<ReplicaCrash> crashes, boolean answered) {
 
-    boolean convicted() {
-      return convicts(crashes, answered);
+    boolean sufficient() {
+      return suffices(crashes, answered);
     }
 
     /**
      * Returns whether either part may be the cause: the crashes at which only one of them was
-     * present do not suffice to convict that one.
+     * present are not sufficient for that one.
      */
     boolean indistinguishable(Suspect other) {
       return answered == other.answered
-          && other.convicted()
-          && !without(other.crashes).convicted()
-          && !other.without(crashes).convicted();
+          && other.sufficient()
+          && !without(other.crashes).sufficient()
+          && !other.without(crashes).sufficient();
     }
 
     Suspect without(Collection<ReplicaCrash> explained) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/PromptQuarantine.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/PromptQuarantine.java
@@ -37,8 +37,8 @@
   private static final Duration DISTINGUISHING_INTERVAL = Duration.ofSeconds(1);
 
   /**
-   * The interval between two requests of the fleet that tell a part apart from others that explain
-   * fewer crashes.
+   * The interval between two requests of the fleet that tell a part apart from others, once it
+   * explains more crashes than they do or as many as are tolerated.
    */
   private static final Duration MORE_SUSPECT_INTERVAL = Duration.ofSeconds(5);
 
@@ -64,7 +64,7 @@
   private final Map<String, Long> triedNanos = new HashMap<>();
   private final RecentKeys<ReplicaCrash.Incarnation> recentCrashes;
   private final RecentKeys<String> recentAnswers;
-  private Map<String, Conviction> convictions = Map.of();
+  private Map<String, QuarantinedPart> quarantinedParts = Map.of();
   private long expiredNanos;
 
   /**
@@ -111,10 +111,11 @@
   private void evictCrash() {
     if (crashes.size() > CRASHES_MAX) {
       Set<ReplicaCrash.Incarnation> explained = new HashSet<>();
-      convictions
+      quarantinedParts
           .values()
           .forEach(
-              conviction -> conviction.crashes().forEach(crash -> explained.add(crash.replica())));
+              quarantinedPart ->
+                  quarantinedPart.crashes().forEach(crash -> explained.add(crash.replica())));
       ReplicaCrash.Incarnation oldest =
           crashes.keySet().stream()
               .filter(replica -> !explained.contains(replica))
@@ -152,9 +153,9 @@
       if (answers.containsKey(part)) {
         recentAnswers.add(part);
       }
-      Conviction conviction = convictions.get(part);
-      if (conviction != null) {
-        conviction.crashes().forEach(earlier -> recentCrashes.add(earlier.replica()));
+      QuarantinedPart quarantinedPart = quarantinedParts.get(part);
+      if (quarantinedPart != null) {
+        quarantinedPart.crashes().forEach(earlier -> recentCrashes.add(earlier.replica()));
       }
     }
   }
@@ -184,7 +185,7 @@
     if (clears) {
       recentAnswers.add(answer.part());
     }
-    if (convictions.containsKey(answer.part())) {
+    if (quarantinedParts.containsKey(answer.part())) {
       evaluate(cause);
     }
   }
@@ -195,7 +196,7 @@
    * @return whether the part was in quarantine
    */
   public boolean release(String part) {
-    boolean released = convictions.containsKey(part);
+    boolean released = quarantinedParts.containsKey(part);
     if (released) {
       onAnswer(
           new PartAnswer(part, nanoTime.getAsLong()), QuarantineListener.ReleaseCause.OPERATOR);
@@ -210,21 +211,21 @@
         latestCrashes.merge(part, crash.atNanos(), (one, other) -> one - other > 0 ? one : other);
       }
     }
-    Map<String, Conviction> before = convictions;
-    convictions = CrashAttribution.convictions(crashes.values(), this::latestAnswer);
-    convictions.forEach(
-        (part, conviction) -> {
+    Map<String, QuarantinedPart> before = quarantinedParts;
+    quarantinedParts = CrashAttribution.quarantinedParts(crashes.values(), this::latestAnswer);
+    quarantinedParts.forEach(
+        (part, quarantinedPart) -> {
           if (!before.containsKey(part)) {
             requestedNanos.put(part, nanoTime.getAsLong());
-            listener.onQuarantined(conviction, latestAnswer(part));
+            listener.onQuarantined(quarantinedPart, latestAnswer(part));
           }
-          Conviction earlier = before.get(part);
-          if (conviction.confirmed() && (earlier == null || !earlier.confirmed())) {
-            listener.onConfirmed(conviction);
+          QuarantinedPart earlier = before.get(part);
+          if (quarantinedPart.confirmed() && (earlier == null || !earlier.confirmed())) {
+            listener.onConfirmed(quarantinedPart);
           }
         });
     for (String part : before.keySet()) {
-      if (!convictions.containsKey(part)) {
+      if (!quarantinedParts.containsKey(part)) {
         requestedNanos.remove(part);
         triedNanos.remove(part);
         listener.onReleased(part, releaseCause);
@@ -243,64 +244,64 @@
    * @param parts the shared parts of the prompt
    */
   public Optional<Duration> refusal(List<String> parts) {
-    if (convictions.isEmpty()) {
+    if (quarantinedParts.isEmpty()) {
       return Optional.empty();
     }
     Set<String> distinct = Set.copyOf(parts);
-    Optional<Duration> longest = Optional.empty();
+    Duration longest = Duration.ZERO;
     for (String part : distinct) {
-      Conviction conviction = convictions.get(part);
-      if (conviction != null) {
+      QuarantinedPart quarantinedPart = quarantinedParts.get(part);
+      if (quarantinedPart != null) {
         requestedNanos.put(part, nanoTime.getAsLong());
-        if (!allowsTrial(conviction, distinct)) {
-          Duration delay = untilTrial(conviction);
-          longest =
-              longest.filter(other -> other.compareTo(delay) >= 0).or(() -> Optional.of(delay));
+        if (!allowsTrial(quarantinedPart, distinct)) {
+          longest = max(longest, untilTrial(quarantinedPart));
         }
       }
     }
-    return longest.map(this::spread);
+    return longest.isZero() ? Optional.empty() : Optional.of(spread(longest));
   }
 
   /** Records that a request was sent to a replica; it is a trial if it has parts in quarantine. */
   public void onSent(List<String> parts) {
-    if (convictions.isEmpty()) {
+    if (quarantinedParts.isEmpty()) {
       return;
     }
     for (String part : Set.copyOf(parts)) {
-      Conviction conviction = convictions.get(part);
-      if (conviction != null) {
+      QuarantinedPart quarantinedPart = quarantinedParts.get(part);
+      if (quarantinedPart != null) {
         triedNanos.put(part, nanoTime.getAsLong());
-        listener.onTrial(conviction);
+        listener.onTrial(quarantinedPart);
       }
     }
   }
 
-  private boolean allowsTrial(Conviction conviction, Set<String> parts) {
-    Set<String> others = new HashSet<>(conviction.indistinguishable());
+  private boolean allowsTrial(QuarantinedPart quarantinedPart, Set<String> parts) {
+    Set<String> others = new HashSet<>(quarantinedPart.indistinguishable());
     others.removeAll(parts);
     int crashesOfOthers = others.stream().mapToInt(this::crashCount).max().orElse(0);
     if (others.isEmpty()) {
-      return due(conviction, TrialSchedule.delay(conviction))
-          && TrialSchedule.trialsLeft(conviction)
-          && makesTrials.test(conviction.part());
+      return due(quarantinedPart, TrialSchedule.delay(quarantinedPart))
+          && TrialSchedule.trialsLeft(quarantinedPart)
+          && makesTrials.test(quarantinedPart.part());
     }
-    if (conviction.crashes().size() > crashesOfOthers) {
-      return due(conviction, MORE_SUSPECT_INTERVAL) && makesTrials.test(conviction.part());
+    int ownCrashes = quarantinedPart.crashes().size();
+    if (ownCrashes > crashesOfOthers) {
+      return due(quarantinedPart, MORE_SUSPECT_INTERVAL)
+          && makesTrials.test(quarantinedPart.part());
     }
-    Long tried = triedNanos.get(conviction.part());
+    Long tried = triedNanos.get(quarantinedPart.part());
     return tried == null || elapsedSince(tried, DISTINGUISHING_INTERVAL);
   }
 
   private int crashCount(String part) {
-    Conviction conviction = convictions.get(part);
-    return conviction == null ? 0 : conviction.crashes().size();
+    QuarantinedPart quarantinedPart = quarantinedParts.get(part);
+    return quarantinedPart == null ? 0 : quarantinedPart.crashes().size();
   }
 
   /** Returns whether neither a crash nor a trial has occurred within an interval. */
-  private boolean due(Conviction conviction, Duration interval) {
-    Long tried = triedNanos.get(conviction.part());
-    return elapsedSince(conviction.latestNanos(), interval)
+  private boolean due(QuarantinedPart quarantinedPart, Duration interval) {
+    Long tried = triedNanos.get(quarantinedPart.part());
+    return elapsedSince(quarantinedPart.latestNanos(), interval)
         && (tried == null || elapsedSince(tried, interval));
   }
 
@@ -308,12 +309,15 @@
     return nanoTime.getAsLong() - nanos >= interval.toNanos();
   }
 
-  private Duration untilTrial(Conviction conviction) {
-    Duration elapsed = Duration.ofNanos(nanoTime.getAsLong() - conviction.latestNanos());
-    Duration left = TrialSchedule.delay(conviction).minus(elapsed);
-    return left.compareTo(RETRY_DELAY_MIN) < 0
-        ? RETRY_DELAY_MIN
-        : left.compareTo(RETRY_DELAY_MAX) > 0 ? RETRY_DELAY_MAX : left;
+  private Duration untilTrial(QuarantinedPart quarantinedPart) {
+    Duration elapsed = Duration.ofNanos(nanoTime.getAsLong() - quarantinedPart.latestNanos());
+    Duration left = TrialSchedule.delay(quarantinedPart).minus(elapsed);
+    Duration atLeast = max(left, RETRY_DELAY_MIN);
+    return atLeast.compareTo(RETRY_DELAY_MAX) < 0 ? atLeast : RETRY_DELAY_MAX;
+  }
+
+  private static Duration max(Duration one, Duration other) {
+    return one.compareTo(other) > 0 ? one : other;
   }
 
   /** Spreads retries over as long again, so that refused callers do not return together. */
@@ -344,19 +348,28 @@
         .anyMatch(requested -> requested != null && requested - oldest >= 0);
   }
 
+  /** Publishes all evidence again, for a router that was out of contact. */
+  public void republish() {
+    crashes.keySet().forEach(recentCrashes::add);
+    latestCrashes.keySet().stream()
+        .filter(answers::containsKey)
+        .toList()
+        .forEach(recentAnswers::add);
+  }
+
   /** Returns the parts in quarantine. */
-  public List<Conviction> convictions() {
-    return List.copyOf(convictions.values());
+  public List<QuarantinedPart> quarantinedParts() {
+    return List.copyOf(quarantinedParts.values());
   }
 
   /** Returns whether no part is in quarantine. */
   public boolean isEmpty() {
-    return convictions.isEmpty();
+    return quarantinedParts.isEmpty();
   }
 
   /** Returns whether a part is in quarantine. */
   public boolean quarantined(String part) {
-    return convictions.containsKey(part);
+    return quarantinedParts.containsKey(part);
   }
 
   /** Returns the crashes that have become known recently, to be sent to the other routers. */
@@ -364,15 +377,6 @@
     return recentCrashes.keys().stream().filter(crashes::containsKey).map(crashes::get).toList();
   }
 
-  /** Publishes all evidence again, for a router that was out of contact. */
-  public void republish() {
-    crashes.keySet().forEach(recentCrashes::add);
-    latestCrashes.keySet().stream()
-        .filter(answers::containsKey)
-        .toList()
-        .forEach(recentAnswers::add);
-  }
-
   /** Returns the answers that have cleared parts recently, to be sent to the other routers. */
   public List<PartAnswer> recentAnswers() {
     return answersOf(recentAnswers.keys());
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/QuarantineListener.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/QuarantineListener.java
@@ -20,17 +20,17 @@
   /**
    * Called when a part is put into quarantine.
    *
-   * @param conviction the part and the crashes that it explains
+   * @param quarantinedPart the part and the crashes that it explains
    * @param answerNanos the time of the latest answer to a request with the part, if any is known
    */
-  void onQuarantined(Conviction conviction, Optional<Long> answerNanos);
+  void onQuarantined(QuarantinedPart quarantinedPart, Optional<Long> answerNanos);
 
   /** Called when a part in quarantine explains so many crashes that it is confirmed. */
-  void onConfirmed(Conviction conviction);
+  void onConfirmed(QuarantinedPart quarantinedPart);
 
   /** Called when a part leaves the quarantine. */
   void onReleased(String part, ReleaseCause cause);
 
   /** Called when a request with a part in quarantine is sent to a replica as a trial. */
-  void onTrial(Conviction conviction);
+  void onTrial(QuarantinedPart quarantinedPart);
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/QuarantineSaving.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/QuarantineSaving.java
@@ -74,7 +74,7 @@
   }
 
   /** Records that the quarantine has been written as it was at {@link #begin}. */
-  public void onWritten(List<Conviction> written) {
+  public void onWritten(List<QuarantinedPart> written) {
     writing = false;
     saved = crashCounts(written);
   }
@@ -92,12 +92,13 @@
   }
 
   private Map<String, Integer> crashCounts() {
-    return crashCounts(quarantine.convictions());
+    return crashCounts(quarantine.quarantinedParts());
   }
 
-  private static Map<String, Integer> crashCounts(Iterable<Conviction> convictions) {
+  private static Map<String, Integer> crashCounts(Iterable<QuarantinedPart> quarantinedParts) {
     Map<String, Integer> counts = new HashMap<>();
-    convictions.forEach(conviction -> counts.put(conviction.part(), conviction.crashes().size()));
+    quarantinedParts.forEach(
+        quarantinedPart -> counts.put(quarantinedPart.part(), quarantinedPart.crashes().size()));
     return counts;
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/Conviction.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/QuarantinedPart.java
@@ -12,11 +12,11 @@
  * @param indistinguishable the parts, this one included, of which any may be the cause, as they
  *     were mostly present at the same crashes
  */
-public record Conviction(
+public record QuarantinedPart(
     String part, List<ReplicaCrash> crashes, int incidents, Set<String> indistinguishable) {
 
-  /** Creates a conviction with copies of the collections. */
-  public Conviction {
+  /** Creates a quarantinedPart with copies of the collections. */
+  public QuarantinedPart {
     crashes = List.copyOf(crashes);
     indistinguishable = Set.copyOf(indistinguishable);
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/TrialSchedule.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/TrialSchedule.java
@@ -15,17 +15,22 @@
   static final Duration DELAY_MAX = Duration.ofHours(1);
 
   /**
-   * The crashes up to which trials are made; the users allow three more than five, and two routers
-   * may make the same trial while the membership changes.
+   * The crashes of one part that the users tolerate, after which only three more sends may come.
    */
-  static final int CRASHES_MAX = 6;
+  static final int CRASHES_TOLERATED = 5;
+
+  /**
+   * The crashes up to which trials are made: one more than tolerated, as two routers may make the
+   * same trial while the membership changes.
+   */
+  private static final int CRASHES_MAX = CRASHES_TOLERATED + 1;
 
   private TrialSchedule() {}
 
   /** Returns the time from the latest crash to the next trial. */
-  static Duration delay(Conviction conviction) {
+  static Duration delay(QuarantinedPart quarantinedPart) {
     Duration delay = FIRST_DELAY;
-    for (int i = CrashAttribution.INCIDENTS_NEVER_ANSWERED; i < conviction.incidents(); i++) {
+    for (int i = CrashAttribution.INCIDENTS_NEVER_ANSWERED; i < quarantinedPart.incidents(); i++) {
       delay = delay.multipliedBy(DELAY_FACTOR);
       if (delay.compareTo(DELAY_MAX) > 0) {
         return DELAY_MAX;
@@ -35,7 +40,7 @@
   }
 
   /** Returns whether trials of a part are made without an operator. */
-  static boolean trialsLeft(Conviction conviction) {
-    return conviction.crashes().size() <= CRASHES_MAX;
+  static boolean trialsLeft(QuarantinedPart quarantinedPart) {
+    return quarantinedPart.crashes().size() <= CRASHES_MAX;
   }
 }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/PromptQuarantineTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/PromptQuarantineTest.java
@@ -200,7 +200,7 @@
   public void aTrialThatIsAnsweredReleasesThePart() {
     crash(FATAL);
     crash(FATAL);
-    advance(TrialSchedule.delay(quarantine.convictions().iterator().next()).toMillis());
+    advance(TrialSchedule.delay(quarantine.quarantinedParts().iterator().next()).toMillis());
     assertAllowed(FATAL);
     quarantine.onSent(List.of(FATAL));
     quarantine.onAnswer(List.of(FATAL));
@@ -213,7 +213,7 @@
     crash(FATAL);
     crash(FATAL);
     Duration delay = quarantine.refusal(List.of(FATAL)).orElseThrow();
-    Duration untilTrial = TrialSchedule.delay(quarantine.convictions().iterator().next());
+    Duration untilTrial = TrialSchedule.delay(quarantine.quarantinedParts().iterator().next());
     assertEquals(delay, untilTrial.multipliedBy(3).dividedBy(2));
   }
 
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/QuarantineSavingTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/QuarantineSavingTest.java
@@ -48,23 +48,23 @@
 
   @Test
   public void theElectedRouterWritesEachChangeOnce() {
-    convict();
+    quarantineFatal();
     assertTrue(saving.begin());
     assertFalse(saving.begin());
-    saving.onWritten(quarantine.convictions());
+    saving.onWritten(quarantine.quarantinedParts());
     assertFalse(saving.begin());
     crash();
     assertTrue(saving.begin());
-    saving.onWritten(quarantine.convictions());
+    saving.onWritten(quarantine.quarantinedParts());
     quarantine.release(FATAL);
     assertTrue(saving.begin());
   }
 
   @Test
   public void aChangeDuringAWriteIsWrittenAfterwards() {
-    convict();
+    quarantineFatal();
     assertTrue(saving.begin());
-    var written = quarantine.convictions();
+    var written = quarantine.quarantinedParts();
     crash();
     saving.onWritten(written);
     assertTrue(saving.begin());
@@ -72,7 +72,7 @@
 
   @Test
   public void aFailedWriteIsRepeatedAfterAWhile() {
-    convict();
+    quarantineFatal();
     assertTrue(saving.begin());
     saving.onFailed();
     assertFalse(saving.begin());
@@ -83,7 +83,7 @@
   @Test
   public void aRouterThatTakesOverWritesARecentChange() {
     elected.set(false);
-    convict();
+    quarantineFatal();
     assertFalse(saving.begin());
     advance(1_000);
     elected.set(true);
@@ -93,7 +93,7 @@
   @Test
   public void aRouterThatTakesOverLaterAssumesThatTheChangeWasWritten() {
     elected.set(false);
-    convict();
+    quarantineFatal();
     assertFalse(saving.begin());
     advance(6_000);
     assertFalse(saving.begin());
@@ -103,14 +103,14 @@
 
   @Test
   public void aRestoredStoreIsWrittenAgain() {
-    convict();
+    quarantineFatal();
     assertTrue(saving.begin());
-    saving.onWritten(quarantine.convictions());
+    saving.onWritten(quarantine.quarantinedParts());
     saving.onStoreRestored();
     assertTrue(saving.begin());
   }
 
-  private void convict() {
+  private void quarantineFatal() {
     crash();
     crash();
   }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/RecordingQuarantineListener.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/RecordingQuarantineListener.java
@@ -12,13 +12,13 @@
   final List<String> released = new ArrayList<>();
 
   @Override
-  public void onQuarantined(Conviction conviction, Optional<Long> answerNanos) {
-    quarantined.add(conviction.part());
+  public void onQuarantined(QuarantinedPart quarantinedPart, Optional<Long> answerNanos) {
+    quarantined.add(quarantinedPart.part());
   }
 
   @Override
-  public void onConfirmed(Conviction conviction) {
-    confirmed.add(conviction.part());
+  public void onConfirmed(QuarantinedPart quarantinedPart) {
+    confirmed.add(quarantinedPart.part());
   }
 
   @Override
@@ -27,5 +27,5 @@
   }
 
   @Override
-  public void onTrial(Conviction conviction) {}
+  public void onTrial(QuarantinedPart quarantinedPart) {}
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/QuarantineEnforcer.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/QuarantineEnforcer.java
@@ -7,8 +7,8 @@
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
-import org.coltsfootvale.core.quarantine.Conviction;
 import org.coltsfootvale.core.quarantine.QuarantineListener;
+import org.coltsfootvale.core.quarantine.QuarantinedPart;
 
 /**
  * Logs changes of the quarantine with their evidence, and cancels attempts with parts that are
@@ -30,27 +30,27 @@
   }
 
   @Override
-  public void onQuarantined(Conviction conviction, Optional<Long> answerNanos) {
+  public void onQuarantined(QuarantinedPart quarantinedPart, Optional<Long> answerNanos) {
     log.record(
-        describe(DecisionEvent.PROMPT_PART_QUARANTINED, conviction)
-            .with("replicas", replicas(conviction))
-            .with("first_crash_age_millis", ageMillis(conviction.crashes().get(0).atNanos()))
-            .with("latest_crash_age_millis", ageMillis(conviction.latestNanos()))
+        describe(DecisionEvent.PROMPT_PART_QUARANTINED, quarantinedPart)
+            .with("replicas", replicas(quarantinedPart))
+            .with("first_crash_age_millis", ageMillis(quarantinedPart.crashes().get(0).atNanos()))
+            .with("latest_crash_age_millis", ageMillis(quarantinedPart.latestNanos()))
             .with("answer_age_millis", answerNanos.map(this::ageMillis).orElse(NEVER))
-            .with("indistinguishable", PartNames.join(conviction.indistinguishable())));
+            .with("indistinguishable", PartNames.join(quarantinedPart.indistinguishable())));
   }
 
   @Override
-  public void onConfirmed(Conviction conviction) {
-    int cancelled = unanswered.cancelWith(conviction.part());
+  public void onConfirmed(QuarantinedPart quarantinedPart) {
+    int cancelled = unanswered.cancelWith(quarantinedPart.part());
     log.record(
-        describe(DecisionEvent.PROMPT_PART_CONFIRMED, conviction)
+        describe(DecisionEvent.PROMPT_PART_CONFIRMED, quarantinedPart)
             .with("requests_cancelled", cancelled));
   }
 
   @Override
-  public void onTrial(Conviction conviction) {
-    log.record(describe(DecisionEvent.PROMPT_PART_TRIED, conviction));
+  public void onTrial(QuarantinedPart quarantinedPart) {
+    log.record(describe(DecisionEvent.PROMPT_PART_TRIED, quarantinedPart));
   }
 
   @Override
@@ -61,15 +61,15 @@
             .with("cause", cause.name()));
   }
 
-  private static Decision describe(DecisionEvent event, Conviction conviction) {
+  private static Decision describe(DecisionEvent event, QuarantinedPart quarantinedPart) {
     return Decision.of(event)
-        .with("part", conviction.part())
-        .with("crashes", conviction.crashes().size())
-        .with("incidents", conviction.incidents());
+        .with("part", quarantinedPart.part())
+        .with("crashes", quarantinedPart.crashes().size())
+        .with("incidents", quarantinedPart.incidents());
   }
 
-  private static String replicas(Conviction conviction) {
-    return conviction.crashes().stream()
+  private static String replicas(QuarantinedPart quarantinedPart) {
+    return quarantinedPart.crashes().stream()
         .map(crash -> crash.replica().id())
         .collect(Collectors.joining(","));
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/QuarantineUpdates.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/QuarantineUpdates.java
@@ -8,10 +8,12 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.model.HostPort;
-import org.coltsfootvale.core.quarantine.Conviction;
 import org.coltsfootvale.core.quarantine.PartAnswer;
 import org.coltsfootvale.core.quarantine.PromptQuarantine;
+import org.coltsfootvale.core.quarantine.QuarantinedPart;
 import org.coltsfootvale.core.quarantine.ReplicaCrash;
+import org.coltsfootvale.protocol.wire.AnswerReport;
+import org.coltsfootvale.protocol.wire.CrashReport;
 import org.coltsfootvale.protocol.wire.RouterUpdate;
 
 /**
@@ -52,14 +54,14 @@
     crashes.forEach(crash -> update.addCrashes(message(crash)));
     for (PartAnswer answer : answers) {
       update.addPartAnswers(
-          org.coltsfootvale.protocol.wire.PartAnswer.newBuilder()
+          AnswerReport.newBuilder()
               .setPart(answer.part())
               .setAgeMillis(ageMillis(answer.atNanos())));
     }
   }
 
-  private org.coltsfootvale.protocol.wire.ReplicaCrash message(ReplicaCrash crash) {
-    return org.coltsfootvale.protocol.wire.ReplicaCrash.newBuilder()
+  private CrashReport message(ReplicaCrash crash) {
+    return CrashReport.newBuilder()
         .setId(crash.replica().id())
         .setBornMillis(crash.replica().startedMillis())
         .setAddress(crash.address().toString())
@@ -69,11 +71,11 @@
   }
 
   /** Returns the crashes that parts in quarantine explain, reduced to these parts. */
-  List<org.coltsfootvale.protocol.wire.ReplicaCrash> crashesOf(List<Conviction> convictions) {
+  List<CrashReport> crashesOf(List<QuarantinedPart> quarantinedParts) {
     Map<ReplicaCrash, Set<String>> parts = new LinkedHashMap<>();
-    for (Conviction conviction : convictions) {
-      for (ReplicaCrash crash : conviction.crashes()) {
-        parts.computeIfAbsent(crash, absent -> new HashSet<>()).add(conviction.part());
+    for (QuarantinedPart quarantinedPart : quarantinedParts) {
+      for (ReplicaCrash crash : quarantinedPart.crashes()) {
+        parts.computeIfAbsent(crash, absent -> new HashSet<>()).add(quarantinedPart.part());
       }
     }
     return parts.entrySet().stream()
@@ -83,7 +85,7 @@
 
   /** Applies the evidence in an update from another router. */
   void onUpdate(RouterUpdate update) {
-    // Answers come first, so that crashes before them convict no part.
+    // Answers come first, so that crashes before them put no part into quarantine.
     update
         .getPartAnswersList()
         .forEach(
@@ -98,8 +100,8 @@
    *
    * @param elapsed the time since their ages were determined
    */
-  void merge(List<org.coltsfootvale.protocol.wire.ReplicaCrash> crashes, Duration elapsed) {
-    for (org.coltsfootvale.protocol.wire.ReplicaCrash crash : crashes) {
+  void merge(List<CrashReport> crashes, Duration elapsed) {
+    for (CrashReport crash : crashes) {
       quarantine.onCrash(
           new ReplicaCrash(
               new ReplicaCrash.Incarnation(crash.getId(), crash.getBornMillis()),
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
@@ -11,7 +11,7 @@
 import org.coltsfootvale.core.dispatch.PeerRequestCounts;
 import org.coltsfootvale.core.dispatch.ReplicaState;
 import org.coltsfootvale.core.dispatch.ServiceDispatcher;
-import org.coltsfootvale.core.quarantine.Conviction;
+import org.coltsfootvale.core.quarantine.QuarantinedPart;
 import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.support.Json;
@@ -62,7 +62,8 @@
             state.desiredStateAge().toMillis() / MILLIS_PER_SECOND));
     readings.add(
         GaugeSample.of(
-            "coltsfootvale.prompt.parts.quarantined", state.quarantine().convictions().size()));
+            "coltsfootvale.prompt.parts.quarantined",
+            state.quarantine().quarantinedParts().size()));
     for (PrefixFollower follower : followers) {
       readings.add(
           new GaugeSample(
@@ -111,9 +112,9 @@
     dump.put("routers_known", registry.size());
     dump.put("peers_heard", peerRequestCounts.activePeerCount());
     ArrayNode quarantined = dump.putArray("quarantine");
-    state.quarantine().convictions().stream()
+    state.quarantine().quarantinedParts().stream()
         .limit(ENTRIES_MAX)
-        .forEach(conviction -> describe(quarantined.addObject(), conviction));
+        .forEach(quarantinedPart -> describe(quarantined.addObject(), quarantinedPart));
     ObjectNode services = dump.putObject("services");
     state
         .dispatchers()
@@ -121,14 +122,15 @@
     return dump.toPrettyString() + "\n";
   }
 
-  private void describe(ObjectNode entry, Conviction conviction) {
-    entry.put("part", conviction.part());
-    entry.put("incidents", conviction.incidents());
-    entry.put("latest_crash_age_millis", millis(nanoTime.getAsLong() - conviction.latestNanos()));
+  private void describe(ObjectNode entry, QuarantinedPart quarantinedPart) {
+    entry.put("part", quarantinedPart.part());
+    entry.put("incidents", quarantinedPart.incidents());
+    entry.put(
+        "latest_crash_age_millis", millis(nanoTime.getAsLong() - quarantinedPart.latestNanos()));
     ArrayNode replicas = entry.putArray("replicas");
-    conviction.crashes().forEach(crash -> replicas.add(crash.replica().id()));
+    quarantinedPart.crashes().forEach(crash -> replicas.add(crash.replica().id()));
     ArrayNode alike = entry.putArray("indistinguishable");
-    conviction.indistinguishable().forEach(alike::add);
+    quarantinedPart.indistinguishable().forEach(alike::add);
   }
 
   private void describe(ObjectNode service, ServiceDispatcher dispatcher) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoredQuarantine.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoredQuarantine.java
@@ -7,9 +7,9 @@
 import java.util.List;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.error.Failures;
-import org.coltsfootvale.core.quarantine.Conviction;
 import org.coltsfootvale.core.quarantine.PromptQuarantine;
 import org.coltsfootvale.core.quarantine.QuarantineSaving;
+import org.coltsfootvale.core.quarantine.QuarantinedPart;
 import org.coltsfootvale.core.store.RevisionedStore;
 import org.coltsfootvale.core.store.StorePage;
 import org.coltsfootvale.protocol.wire.QuarantineRecord;
@@ -71,7 +71,7 @@
     if (!loaded) {
       load();
     } else if (saving.begin()) {
-      save(quarantine.convictions());
+      save(quarantine.quarantinedParts());
     }
   }
 
@@ -112,11 +112,11 @@
     }
   }
 
-  private void save(List<Conviction> convictions) {
+  private void save(List<QuarantinedPart> quarantinedParts) {
     QuarantineRecord record =
         QuarantineRecord.newBuilder()
             .setWrittenMillis(clock.millis())
-            .addAllCrashes(updates.crashesOf(convictions))
+            .addAllCrashes(updates.crashesOf(quarantinedParts))
             .build();
     var unused =
         store
@@ -124,7 +124,7 @@
             .whenComplete(
                 (revision, failure) -> {
                   if (failure == null) {
-                    saving.onWritten(convictions);
+                    saving.onWritten(quarantinedParts);
                   } else {
                     saving.onFailed();
                     LOGGER.atInfo().log(
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/quarantine/CrashingFleet.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/quarantine/CrashingFleet.java
@@ -11,10 +11,10 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.coltsfootvale.core.model.HostPort;
-import org.coltsfootvale.core.quarantine.Conviction;
 import org.coltsfootvale.core.quarantine.PartAnswer;
 import org.coltsfootvale.core.quarantine.PromptQuarantine;
 import org.coltsfootvale.core.quarantine.QuarantineListener;
+import org.coltsfootvale.core.quarantine.QuarantinedPart;
 import org.coltsfootvale.core.quarantine.ReplicaCrash;
 
 /**
@@ -48,23 +48,23 @@
   enum Ablation {
     NONE,
     NO_SHARING,
-    NO_EXONERATION
+    NO_CLEARING
   }
 
   private static final QuarantineListener IGNORED =
       new QuarantineListener() {
 
         @Override
-        public void onQuarantined(Conviction conviction, Optional<Long> answerNanos) {}
+        public void onQuarantined(QuarantinedPart quarantinedPart, Optional<Long> answerNanos) {}
 
         @Override
-        public void onConfirmed(Conviction conviction) {}
+        public void onConfirmed(QuarantinedPart quarantinedPart) {}
 
         @Override
         public void onReleased(String part, ReleaseCause cause) {}
 
         @Override
-        public void onTrial(Conviction conviction) {}
+        public void onTrial(QuarantinedPart quarantinedPart) {}
       };
 
   private static final double REQUESTS_PER_SECOND = 40;
@@ -195,7 +195,7 @@
 
   private void establish(Replica replica, int incarnation, Request request) {
     if (replica.runs(incarnation) && replica.unanswered.remove(request)) {
-      if (ablation != Ablation.NO_EXONERATION) {
+      if (ablation != Ablation.NO_CLEARING) {
         routers.get(request.router).onAnswer(request.parts);
       }
     }
--- a/coltsfootvale-verify/src/test/java/org/coltsfootvale/verify/quarantine/CrashingFleetTest.java
+++ b/coltsfootvale-verify/src/test/java/org/coltsfootvale/verify/quarantine/CrashingFleetTest.java
@@ -41,9 +41,9 @@
   }
 
   @Test
-  public void withoutExonerationSoundRequestsAreRefused() {
+  public void withoutClearingByAnswersSoundRequestsAreRefused() {
     assertTrue(
-        runs(CrashingFleet.Ablation.NO_EXONERATION)
+        runs(CrashingFleet.Ablation.NO_CLEARING)
             .anyMatch(Predicate.not(this::servesSoundRequests)));
   }
 
