Tell parts apart at one router only once five replicas have crashed

When several replicas crash at once with the same two parts, each router could still let a request a second through to tell the parts apart, although five crashes had come. From then on one elected router does, 5 s apart. The test fails before (refused expected, allowed found).

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/PromptQuarantine.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/PromptQuarantine.java
@@ -42,9 +42,6 @@
    */
   private static final Duration MORE_SUSPECT_INTERVAL = Duration.ofSeconds(5);
 
-  private static final Duration RETRY_DELAY_MIN = Duration.ofSeconds(5);
-  private static final Duration RETRY_DELAY_MAX = Duration.ofMinutes(2);
-
   private final LongSupplier nanoTime;
   private final DoubleSupplier random;
   private final Predicate<String> makesTrials;
@@ -248,17 +245,22 @@
       return Optional.empty();
     }
     Set<String> distinct = Set.copyOf(parts);
-    Duration longest = Duration.ZERO;
+    boolean refused = false;
+    Duration untilTrial = Duration.ZERO;
     for (String part : distinct) {
       QuarantinedPart quarantinedPart = quarantinedParts.get(part);
       if (quarantinedPart != null) {
         requestedNanos.put(part, nanoTime.getAsLong());
         if (!allowsTrial(quarantinedPart, distinct)) {
-          longest = max(longest, untilTrial(quarantinedPart));
+          refused = true;
+          Duration left = untilTrial(quarantinedPart);
+          untilTrial = left.compareTo(untilTrial) > 0 ? left : untilTrial;
         }
       }
     }
-    return longest.isZero() ? Optional.empty() : Optional.of(spread(longest));
+    return refused
+        ? Optional.of(TrialSchedule.retryDelay(untilTrial, random.getAsDouble()))
+        : Optional.empty();
   }
 
   /** Records that a request was sent to a replica; it is a trial if it has parts in quarantine. */
@@ -285,7 +287,7 @@
           && makesTrials.test(quarantinedPart.part());
     }
     int ownCrashes = quarantinedPart.crashes().size();
-    if (ownCrashes > crashesOfOthers) {
+    if (ownCrashes > crashesOfOthers || ownCrashes >= TrialSchedule.CRASHES_TOLERATED) {
       return due(quarantinedPart, MORE_SUSPECT_INTERVAL)
           && makesTrials.test(quarantinedPart.part());
     }
@@ -311,18 +313,7 @@
 
   private Duration untilTrial(QuarantinedPart quarantinedPart) {
     Duration elapsed = Duration.ofNanos(nanoTime.getAsLong() - quarantinedPart.latestNanos());
-    Duration left = TrialSchedule.delay(quarantinedPart).minus(elapsed);
-    Duration atLeast = max(left, RETRY_DELAY_MIN);
-    return atLeast.compareTo(RETRY_DELAY_MAX) < 0 ? atLeast : RETRY_DELAY_MAX;
-  }
-
-  private static Duration max(Duration one, Duration other) {
-    return one.compareTo(other) > 0 ? one : other;
-  }
-
-  /** Spreads retries over as long again, so that refused callers do not return together. */
-  private Duration spread(Duration delay) {
-    return delay.plusNanos((long) (delay.toNanos() * random.getAsDouble()));
+    return TrialSchedule.delay(quarantinedPart).minus(elapsed);
   }
 
   /** Forgets old evidence. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/TrialSchedule.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/quarantine/TrialSchedule.java
@@ -25,8 +25,23 @@
    */
   private static final int CRASHES_MAX = CRASHES_TOLERATED + 1;
 
+  private static final Duration RETRY_DELAY_MIN = Duration.ofSeconds(5);
+  private static final Duration RETRY_DELAY_MAX = Duration.ofMinutes(2);
+
   private TrialSchedule() {}
 
+  /**
+   * Returns the delay after which a refused caller should retry: the time to the next trial within
+   * bounds, spread over as long again so that callers do not return together.
+   *
+   * @param random a uniform random number in [0, 1)
+   */
+  static Duration retryDelay(Duration untilTrial, double random) {
+    Duration delay = untilTrial.compareTo(RETRY_DELAY_MIN) > 0 ? untilTrial : RETRY_DELAY_MIN;
+    Duration bounded = delay.compareTo(RETRY_DELAY_MAX) < 0 ? delay : RETRY_DELAY_MAX;
+    return bounded.plusNanos((long) (bounded.toNanos() * random));
+  }
+
   /** Returns the time from the latest crash to the next trial. */
   static Duration delay(QuarantinedPart quarantinedPart) {
     Duration delay = FIRST_DELAY;
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/PromptQuarantineTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/quarantine/PromptQuarantineTest.java
@@ -131,6 +131,16 @@
     assertAllowed(SUBJECT);
   }
 
+  @Test
+  public void partsThatCrashedAsManyReplicasAsToleratedAreToldApartRarely() {
+    for (int i = 0; i < TrialSchedule.CRASHES_TOLERATED; i++) {
+      crash(SUBJECT, FATAL);
+    }
+    assertRefused("other-subject", FATAL);
+    advance(5_000);
+    assertAllowed("other-subject", FATAL);
+  }
+
   @Test
   public void twoPartsThatCrashReplicasAreBothQuarantined() {
     crash(ROOT, FATAL);
