--- a/review/3/SlowReaders.java
+++ b/review/3/SlowReaders.java
@@ -73,7 +73,7 @@
       if (Deployment.trouble()) {
         record.line("SIGTERM to the router");
         long begun = System.nanoTime();
-        router.signal("TERM");
+        router.terminate();
         router.process.onExit().thenRun(
             () ->
                 record.line(
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -1,3 +1,4 @@
+import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -31,8 +32,19 @@
     }
   }
 
+  /** Returns a temporary folder that is deleted when this process ends. */
   static Path folder() throws IOException {
-    return Files.createTempDirectory("coltsfootvale-review");
+    Path folder = Files.createTempDirectory("coltsfootvale-review");
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  for (File file : folder.toFile().listFiles()) {
+                    file.delete();
+                  }
+                  folder.toFile().delete();
+                }));
+    return folder;
   }
 
   static String tenants() {
--- a/review/standins/Router.java
+++ b/review/standins/Router.java
@@ -93,9 +93,9 @@
     Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
   }
 
-  /** Sends a signal by its name. */
-  void signal(String signal) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+  /** Sends SIGTERM. */
+  void terminate() {
+    process.destroy();
   }
 
   boolean ready() {
