--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Compiles the stand-ins and the drivers of the cases. Needs only the JDK.
+# Compiles the stand-ins and the drivers of the cases into target/review. Needs only the JDK.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-rm -rf review/target
-mkdir -p review/target
-javac -nowarn --release 17 -d review/target review/standins/*.java $(find review/[1-5] -name '*.java')
+rm -rf target/review
+mkdir -p target/review
+javac -nowarn --release 17 -d target/review review/*.java review/[1-5]/*.java
--- a/review/standins/run-case.sh
+++ b/review/run-case.sh
@@ -4,13 +4,13 @@
 set -u
 folder=$1
 class=$2
-cd "$(dirname "$0")/../.."
+cd "$(dirname "$0")/.."
 export TROUBLE=${TROUBLE:-1}
-if [ ! -f target/coltsfootvale-platform.jar ] || [ ! -f "review/target/$class.class" ]; then
+if [ ! -f target/coltsfootvale-platform.jar ] || [ ! -f "target/review/$class.class" ]; then
   echo "run the build of deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
-timeout 115 java --add-opens java.base/sun.nio.ch=ALL-UNNAMED -cp review/target "$class" \
+timeout 115 java --add-opens java.base/sun.nio.ch=ALL-UNNAMED -cp target/review "$class" \
   "review/$folder/record.txt"
 case $? in
   0) exit 0 ;;
