Keep "may have run" when a later attempt is rejected

Callers saw 503 for a request that may be repeated although its first attempt had been sent and its answer was lost: the rejection of the second attempt reset what was known of the first, so that RequestLifecycle chose REFUSE and stated "not run".

A rejection now restores what held before the attempt, and the request fails with 502 if an earlier attempt may have run. Requests that must not be repeated are never sent again after such an attempt, so that nothing changes for them.

RequestLifecycleTest#aRejectionDoesNotUndoAnEarlierAttemptThatMayHaveRun failed before (expected FAIL, found REFUSE).

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestLifecycle.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/course/RequestLifecycle.java
@@ -15,6 +15,7 @@
   private final RepeatBudget budget;
   private int sends;
   private boolean mayHaveRun;
+  private boolean mayHaveRunBefore;
   private boolean answerBegun;
   private boolean eventDelivered;
   private OptionalLong lastEventId;
@@ -74,6 +75,7 @@
   /** Records that the first byte of the request is sent to a replica. */
   public void onSent() {
     sends++;
+    mayHaveRunBefore = mayHaveRun;
     mayHaveRun = true;
   }
 
@@ -99,11 +101,12 @@
 
   /** Returns the next step after a replica states that it did not run the request. */
   public NextStep onRejected() {
-    mayHaveRun = false;
+    // The rejection concerns this attempt only; an earlier one may have run.
+    mayHaveRun = mayHaveRunBefore;
     if (answerBegun) {
       return retryIf(resumable(), NextStep.RESUME, NextStep.BREAK_OFF);
     }
-    return retryIf(true, NextStep.SEND_AGAIN, NextStep.REFUSE);
+    return retryIf(true, NextStep.SEND_AGAIN, mayHaveRun ? NextStep.FAIL : NextStep.REFUSE);
   }
 
   /** Returns the next step after a complete answer that reports a failure of the replica. */
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/course/RequestLifecycleTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/course/RequestLifecycleTest.java
@@ -79,6 +79,17 @@
     assertEquals(request.onDeadlineExceeded(), NextStep.REFUSE);
   }
 
+  /** Guards against a refusal that states "not run" after the answer of another attempt was lost. */
+  @Test
+  public void aRejectionDoesNotUndoAnEarlierAttemptThatMayHaveRun() {
+    RequestLifecycle request = sentRequest(Repeatability.IDEMPOTENT, false, 2, AVAILABLE);
+    assertEquals(request.onAnswerLost(), NextStep.SEND_AGAIN);
+    request.onSent();
+    assertEquals(request.onRejected(), NextStep.FAIL);
+    assertTrue(request.mayHaveRun());
+    assertEquals(request.onDeadlineExceeded(), NextStep.FAIL);
+  }
+
   @Test
   public void aStartedStreamIsBrokenOffUnlessItIsResumable() {
     RequestLifecycle notResumable = sentRequest(Repeatability.STREAMING, false, 2, AVAILABLE);
