Close connections with extra bytes, and trust only the heads of single answers

Callers got 503 for requests that had run, and requests that must not be repeated ran twice, when a backend server added the start of a refusal to a whole answer (10 and 4 of 1,510 requests).

Cause: HttpClientCodec keeps lines of an incomplete head; the pool saw decoded messages only, and the next answer on the connection completed that head. Extra bytes that come directly before the next answer have the same effect and are not seen at the end of the earlier one.

Change: AnswerDecoder decodes nothing while no answer is expected, and the connection is closed. A head that contains a second status line states nothing (AnswerHeads), nor does one without an id on a connection that has carried other requests (AnswerOwner): the answer counts as lost, so that "not run" is never concluded from it. The client of the store had the same fault and uses the same decoder.

--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/course/RequestLifecycleTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/course/RequestLifecycleTest.java
@@ -79,7 +79,9 @@
     assertEquals(request.onDeadlineExceeded(), NextStep.REFUSE);
   }
 
-  /** Guards against a refusal that states "not run" after the answer of another attempt was lost. */
+  /**
+   * Guards against a refusal that states "not run" after the answer of another attempt was lost.
+   */
   @Test
   public void aRejectionDoesNotUndoAnEarlierAttemptThatMayHaveRun() {
     RequestLifecycle request = sentRequest(Repeatability.IDEMPOTENT, false, 2, AVAILABLE);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerReceiver.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerReceiver.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import org.coltsfootvale.core.course.AnswerOwner;
 
 /**
  * Receives the answer of a replica to one request. All methods are called on the serving loop, none
@@ -12,8 +13,13 @@
   /** Called directly before the first byte of the request is sent. */
   void beforeSend();
 
-  /** Receives the head of the answer; returns false if it belongs to another request. */
-  boolean onHead(HttpResponse head);
+  /**
+   * Receives the head of an answer, and returns whose answer it is; further calls follow only if it
+   * belongs to the request.
+   *
+   * @param soleRequest whether the connection has carried no other request and no other answer
+   */
+  AnswerOwner onHead(HttpResponse head, boolean soleRequest);
 
   /** Receives a part of the body; the buffer is released afterwards. */
   void onContent(ByteBuf content);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaConnection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaConnection.java
@@ -3,9 +3,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -15,11 +18,13 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.coltsfootvale.core.course.AnswerOwner;
 import org.jspecify.annotations.Nullable;
 
 /**
  * A connection to a replica; carries one request at a time. It returns to its pool only if the
- * answer was complete, no data followed it in the same read, and both ends keep it alive.
+ * answer was complete, no data followed it in the same read, and both ends keep it alive. An answer
+ * that cannot be attributed to the request counts as lost, and closes the connection.
  */
 public final class ReplicaConnection extends ChannelInboundHandlerAdapter {
 
@@ -32,6 +37,7 @@
   /** The maximum number of body bytes of such answers that are skipped. */
   private static final int SKIPPED_BYTES_MAX = 1024 * 1024;
 
+  private final AnswerDecoder decoder;
   private final LongSupplier nanoTime;
   private final Consumer<ReplicaConnection> onIdle;
   private final Consumer<ReplicaConnection> onClosed;
@@ -42,17 +48,20 @@
   private boolean skippingAnswer;
   private int skippedAnswers;
   private int skippedBytes;
+  private boolean soleRequest = true;
   private boolean reusable = true;
   private boolean answerEnded;
   private boolean connectionReset;
   private long idleSinceNanos;
 
   ReplicaConnection(
+      HttpDecoderConfig decoderConfig,
       Duration idleTimeout,
       LongSupplier nanoTime,
       Runnable onDataReceived,
       Consumer<ReplicaConnection> onIdle,
       Consumer<ReplicaConnection> onClosed) {
+    this.decoder = new AnswerDecoder(decoderConfig, this::answerExpected, this::onUnexpectedBytes);
     this.idleTimeout = idleTimeout;
     this.nanoTime = nanoTime;
     this.onDataReceived = onDataReceived;
@@ -61,6 +70,24 @@
     this.idleSinceNanos = nanoTime.getAsLong();
   }
 
+  /** Adds the handlers of this connection. */
+  void install(ChannelPipeline pipeline) {
+    pipeline.addLast(new HttpRequestEncoder());
+    pipeline.addLast(decoder);
+    pipeline.addLast(this);
+  }
+
+  private boolean answerExpected() {
+    return receiver != null && !answerEnded;
+  }
+
+  private void onUnexpectedBytes() {
+    reusable = false;
+    if (receiver == null) {
+      cancel();
+    }
+  }
+
   /** Sends a request and passes its answer to a receiver. */
   public void send(FullHttpRequest request, AnswerReceiver answerReceiver) {
     Channel open = channel;
@@ -71,6 +98,7 @@
       return;
     }
     receiver = answerReceiver;
+    decoder.expectAnswerTo(request.method());
     answerEnded = false;
     skippingAnswer = false;
     skippedAnswers = 0;
@@ -106,11 +134,6 @@
     return Duration.ofNanos(nanoTime.getAsLong() - idleSinceNanos);
   }
 
-  /** Returns whether a request awaits its answer, so that data may arrive. */
-  boolean awaitsAnswer() {
-    return receiver != null;
-  }
-
   boolean expired() {
     return idleTime().compareTo(idleTimeout) >= 0;
   }
@@ -127,12 +150,9 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
-      if (receiver == null || answerEnded) {
-        // Data without a pending request, and all that follows it, cannot be attributed.
-        reusable = false;
-        context.close();
-      } else if (message instanceof HttpObject object) {
-        read(context, receiver, object);
+      AnswerReceiver answer = receiver;
+      if (answer != null && !answerEnded && message instanceof HttpObject object) {
+        read(context, answer, object);
       }
     } finally {
       ReferenceCountUtil.release(message);
@@ -147,14 +167,8 @@
     if (!skippingAnswer) {
       onDataReceived.run();
     }
-    if (object instanceof HttpResponse head) {
-      skippingAnswer = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-      if (!skippingAnswer) {
-        reusable &= HttpUtil.isKeepAlive(head);
-        skippingAnswer = !answer.onHead(head);
-        reusable &= !skippingAnswer;
-      }
-      skippedAnswers += skippingAnswer ? 1 : 0;
+    if (object instanceof HttpResponse head && !readHead(context, answer, head)) {
+      return;
     }
     if (object instanceof HttpContent content) {
       if (skippingAnswer) {
@@ -172,6 +186,32 @@
     }
   }
 
+  /** Reads a head; returns false if it cannot be attributed, so that the connection has failed. */
+  private boolean readHead(
+      ChannelHandlerContext context, AnswerReceiver answer, HttpResponse head) {
+    if (!AnswerHeads.single(head)) {
+      fail(context, new IOException("the head of an answer contains the start of another answer"));
+      return false;
+    }
+    skippingAnswer = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    if (!skippingAnswer) {
+      reusable &= HttpUtil.isKeepAlive(head);
+      AnswerOwner owner = answer.onHead(head, soleRequest);
+      if (owner == AnswerOwner.UNKNOWN) {
+        fail(
+            context,
+            new IOException(
+                "an answer without an id on a connection that has carried other requests"));
+        return false;
+      }
+      skippingAnswer = owner == AnswerOwner.OTHER_REQUEST;
+      soleRequest &= !skippingAnswer;
+      reusable &= !skippingAnswer;
+    }
+    skippedAnswers += skippingAnswer ? 1 : 0;
+    return true;
+  }
+
   private void end(ChannelHandlerContext context, AnswerReceiver answer) {
     if (skippingAnswer) {
       skippingAnswer = false;
@@ -190,6 +230,7 @@
     if (answerEnded) {
       answerEnded = false;
       receiver = null;
+      soleRequest = false;
       if (reusable && context.channel().isActive()) {
         idleSinceNanos = nanoTime.getAsLong();
         context.channel().config().setAutoRead(true);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaConnectionPool.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaConnectionPool.java
@@ -1,7 +1,7 @@
 package org.coltsfootvale.router.http;
 
 import io.netty.channel.ChannelFuture;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -30,6 +30,12 @@
   private static final int HEAD_BYTES_MAX = 65_536;
   private static final int CHUNK_BYTES_MAX = 65_536;
 
+  private static final HttpDecoderConfig DECODER_CONFIG =
+      new HttpDecoderConfig()
+          .setMaxInitialLineLength(HEAD_LINE_BYTES_MAX)
+          .setMaxHeaderSize(HEAD_BYTES_MAX)
+          .setMaxChunkSize(CHUNK_BYTES_MAX);
+
   private final ServingLoop loop;
   private final LongSupplier nanoTime;
   private final Map<ReplicaState, Deque<ReplicaConnection>> idle = new HashMap<>();
@@ -67,21 +73,14 @@
       ReplicaState replica, BiConsumer<@Nullable ReplicaConnection, @Nullable Throwable> callback) {
     ReplicaConnection connection =
         new ReplicaConnection(
+            DECODER_CONFIG,
             DEFAULT_IDLE_TIMEOUT,
             nanoTime,
             replica.health()::onDataReceived,
             idleConnection -> addIdle(replica, idleConnection),
             closed -> removeIdle(replica, closed));
     ChannelFuture connecting =
-        loop.connect(
-            replica.replica().address(),
-            CONNECT_TIMEOUT_MILLIS,
-            pipeline -> {
-              pipeline.addLast(new UnsolicitedDataHandler(connection));
-              pipeline.addLast(
-                  new HttpClientCodec(HEAD_LINE_BYTES_MAX, HEAD_BYTES_MAX, CHUNK_BYTES_MAX));
-              pipeline.addLast(connection);
-            });
+        loop.connect(replica.replica().address(), CONNECT_TIMEOUT_MILLIS, connection::install);
     var unused =
         connecting.addListener(
             done -> {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/SimpleHttpClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/SimpleHttpClient.java
@@ -4,14 +4,16 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -88,13 +90,7 @@
   private void connect(FullHttpRequest request, CompletableFuture<HttpReply> reply) {
     ChannelFuture connecting =
         loop.connect(
-            address,
-            CONNECT_TIMEOUT_MILLIS,
-            pipeline -> {
-              pipeline.addLast(new HttpClientCodec());
-              pipeline.addLast(new HttpObjectAggregator(BODY_BYTES_MAX));
-              pipeline.addLast(new ReplyHandler());
-            });
+            address, CONNECT_TIMEOUT_MILLIS, pipeline -> new ReplyHandler().install(pipeline));
     var unused =
         connecting.addListener(
             done -> {
@@ -109,7 +105,7 @@
 
   private void send(Channel channel, FullHttpRequest request, CompletableFuture<HttpReply> reply) {
     ReplyHandler handler = channel.pipeline().get(ReplyHandler.class);
-    handler.pending = reply;
+    handler.expect(reply, request.method());
     var unused =
         reply.whenComplete(
             (answer, failure) -> {
@@ -136,50 +132,92 @@
     return new IOException(method + " " + target + ": " + what);
   }
 
-  /** Completes the pending call of a connection. */
+  /** Completes the pending call of a connection at the end of the read that ends its answer. */
   private final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
+    private final AnswerDecoder decoder =
+        new AnswerDecoder(new HttpDecoderConfig(), this::answerExpected, this::onUnexpectedBytes);
+    private @Nullable ChannelHandlerContext context;
     private @Nullable CompletableFuture<HttpReply> pending;
+    private @Nullable HttpReply received;
+    private boolean reusable = true;
+
+    void install(ChannelPipeline pipeline) {
+      pipeline.addLast(new HttpRequestEncoder());
+      pipeline.addLast(decoder);
+      pipeline.addLast(new HttpObjectAggregator(BODY_BYTES_MAX));
+      pipeline.addLast(this);
+    }
 
-    @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-      CompletableFuture<HttpReply> reply = pending;
-      pending = null;
-      if (reply == null || !response.decoderResult().isSuccess()) {
+    void expect(CompletableFuture<HttpReply> reply, HttpMethod method) {
+      pending = reply;
+      decoder.expectAnswerTo(method);
+    }
+
+    private boolean answerExpected() {
+      return pending != null && received == null;
+    }
+
+    private void onUnexpectedBytes() {
+      reusable = false;
+      if (pending == null && context != null) {
         context.close();
-        if (reply != null) {
-          reply.completeExceptionally(new IOException("the HTTP answer could not be decoded"));
-        }
+      }
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+      context = added;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext reading, FullHttpResponse response) {
+      if (!response.decoderResult().isSuccess() || !AnswerHeads.single(response)) {
+        fail(reading, new IOException("the HTTP answer could not be decoded"));
         return;
       }
       byte[] body = new byte[response.content().readableBytes()];
       response.content().readBytes(body);
-      if (HttpUtil.isKeepAlive(response) && !reply.isDone()) {
-        idle.addLast(context.channel());
-      } else {
-        context.close();
-      }
-      reply.complete(new HttpReply(response.status().code(), response.headers(), body));
+      reusable &= HttpUtil.isKeepAlive(response);
+      received = new HttpReply(response.status().code(), response.headers(), body);
     }
 
     @Override
-    public void channelInactive(ChannelHandlerContext context) {
-      idle.remove(context.channel());
+    public void channelReadComplete(ChannelHandlerContext read) {
       CompletableFuture<HttpReply> reply = pending;
-      pending = null;
-      if (reply != null) {
-        reply.completeExceptionally(new IOException("the connection was closed before the answer"));
+      HttpReply answer = received;
+      if (reply != null && answer != null) {
+        pending = null;
+        received = null;
+        if (reusable && !reply.isDone()) {
+          idle.addLast(read.channel());
+        } else {
+          read.close();
+        }
+        reply.complete(answer);
       }
+      read.fireChannelReadComplete();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext closed) {
+      idle.remove(closed.channel());
+      fail(closed, new IOException("the connection was closed before the answer"));
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+      fail(failed, cause);
+    }
+
+    private void fail(ChannelHandlerContext failed, Throwable cause) {
       CompletableFuture<HttpReply> reply = pending;
       pending = null;
+      received = null;
+      failed.close();
       if (reply != null) {
         reply.completeExceptionally(cause);
       }
-      context.close();
     }
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.coltsfootvale.core.course.AnswerOwner;
 import org.coltsfootvale.core.course.NextStep;
 import org.coltsfootvale.core.course.RequestLifecycle;
 import org.coltsfootvale.core.dispatch.ReplicaState;
@@ -59,7 +60,11 @@
   void begin() {
     evidence.onBegun();
     boolean newConnection = !lifecycle.route().repeatable();
-    ReplicaConnection pooled = context.links().acquire(replica, newConnection);
+    // On a new connection, an answer is the request's own even if neither bears an id.
+    ReplicaConnection pooled =
+        exchange.description().requestId().isEmpty()
+            ? null
+            : context.links().acquire(replica, newConnection);
     if (pooled != null) {
       send(pooled);
     } else {
@@ -156,12 +161,17 @@
   }
 
   @Override
-  public boolean onHead(HttpResponse response) {
+  public AnswerOwner onHead(HttpResponse response, boolean soleRequest) {
     AnswerMetadata read = context.protocol().answerMetadata(response);
+    AnswerOwner owner =
+        AnswerOwner.of(exchange.description().requestId(), read.requestId(), soleRequest);
     silence.onReceived();
+    if (owner == AnswerOwner.UNKNOWN) {
+      return owner;
+    }
     applyHints(response, read);
-    if (read.requestId().filter(id -> !id.equals(exchange.description().requestId())).isPresent()) {
-      return false;
+    if (owner == AnswerOwner.OTHER_REQUEST) {
+      return owner;
     }
     head = response;
     answerMetadata = read;
@@ -172,7 +182,7 @@
     answer.begin(
         lifecycle.route().streaming() && AnswerStatus.isSuccess(response),
         lifecycle.route().resumable() || AnswerStatus.isEventStream(response));
-    return true;
+    return owner;
   }
 
   /** Applies what an answer of any status states about further requests. */
