Complete an answer without a length only at the end of the peer's data

Callers got streams that ended as complete ones after half of their events (5 of 120) when a backend server reset the connection while the request was still being sent.

Cause: the decoder ends an answer without a length when the channel becomes inactive, and only an exception seen by a read marked the connection as reset. A write that notices the reset first closes the channel without one; its future had no listener.

Change: ClientSocketChannel records that the end of the stream was read, and ReplicaConnection and SimpleHttpClient complete an answer that ends with its connection on this evidence only, whatever else has closed the connection. A failed write fails the request.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaConnection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaConnection.java
@@ -51,7 +51,6 @@
   private boolean soleRequest = true;
   private boolean reusable = true;
   private boolean answerEnded;
-  private boolean connectionReset;
   private long idleSinceNanos;
 
   ReplicaConnection(
@@ -104,7 +103,21 @@
     skippedAnswers = 0;
     skippedBytes = 0;
     answerReceiver.beforeSend();
-    open.writeAndFlush(request);
+    var unused =
+        open.writeAndFlush(request)
+            .addListener(
+                written -> {
+                  if (!written.isSuccess()) {
+                    onWriteFailed(answerReceiver, written.cause());
+                  }
+                });
+  }
+
+  /** Fails the request, as the part that was written may have run. */
+  private void onWriteFailed(AnswerReceiver answer, Throwable cause) {
+    if (receiver == answer) {
+      fail(cause);
+    }
   }
 
   /** Closes the connection, which cancels the request at the replica. */
@@ -152,22 +165,22 @@
     try {
       AnswerReceiver answer = receiver;
       if (answer != null && !answerEnded && message instanceof HttpObject object) {
-        read(context, answer, object);
+        read(answer, object);
       }
     } finally {
       ReferenceCountUtil.release(message);
     }
   }
 
-  private void read(ChannelHandlerContext context, AnswerReceiver answer, HttpObject object) {
+  private void read(AnswerReceiver answer, HttpObject object) {
     if (object.decoderResult().isFailure()) {
-      fail(context, object.decoderResult().cause());
+      fail(object.decoderResult().cause());
       return;
     }
     if (!skippingAnswer) {
       onDataReceived.run();
     }
-    if (object instanceof HttpResponse head && !readHead(context, answer, head)) {
+    if (object instanceof HttpResponse head && !readHead(answer, head)) {
       return;
     }
     if (object instanceof HttpContent content) {
@@ -177,20 +190,19 @@
         answer.onContent(content.content());
       }
       if (skippedAnswers > SKIPPED_ANSWERS_MAX || skippedBytes > SKIPPED_BYTES_MAX) {
-        fail(context, new IOException("the replica sends answers to no request without end"));
+        fail(new IOException("the replica sends answers to no request without end"));
         return;
       }
       if (object instanceof LastHttpContent && receiver == answer) {
-        end(context, answer);
+        end(answer);
       }
     }
   }
 
   /** Reads a head; returns false if it cannot be attributed, so that the connection has failed. */
-  private boolean readHead(
-      ChannelHandlerContext context, AnswerReceiver answer, HttpResponse head) {
+  private boolean readHead(AnswerReceiver answer, HttpResponse head) {
     if (!AnswerHeads.single(head)) {
-      fail(context, new IOException("the head of an answer contains the start of another answer"));
+      fail(new IOException("the head of an answer contains the start of another answer"));
       return false;
     }
     skippingAnswer = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -199,7 +211,6 @@
       AnswerOwner owner = answer.onHead(head, soleRequest);
       if (owner == AnswerOwner.UNKNOWN) {
         fail(
-            context,
             new IOException(
                 "an answer without an id on a connection that has carried other requests"));
         return false;
@@ -212,13 +223,13 @@
     return true;
   }
 
-  private void end(ChannelHandlerContext context, AnswerReceiver answer) {
+  private void end(AnswerReceiver answer) {
     if (skippingAnswer) {
       skippingAnswer = false;
       return;
     }
-    if (connectionReset) {
-      fail(context, new IOException("the connection was reset before the answer was whole"));
+    if (channel == null || ClientSocketChannel.lost(channel)) {
+      fail(new IOException("the connection was lost before the answer was complete"));
       return;
     }
     answerEnded = true;
@@ -246,22 +257,19 @@
   public void channelInactive(ChannelHandlerContext context) {
     onClosed.accept(this);
     if (!answerEnded) {
-      fail(context, new IOException("the replica closed the connection"));
+      fail(new IOException("the replica closed the connection"));
     }
     context.fireChannelInactive();
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    connectionReset = true;
-    fail(context, cause);
+    fail(cause);
   }
 
-  private void fail(ChannelHandlerContext context, Throwable cause) {
+  private void fail(Throwable cause) {
     AnswerReceiver answer = receiver;
-    receiver = null;
-    reusable = false;
-    context.close();
+    cancel();
     if (answer != null && !answerEnded) {
       answer.onAnswerLost(true, cause);
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
@@ -11,7 +11,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -67,7 +66,7 @@
   ChannelFuture connect(HostPort address, int timeoutMillis, Consumer<ChannelPipeline> setUp) {
     return TcpKeepAlive.enable(new Bootstrap())
         .group(eventLoop())
-        .channel(NioSocketChannel.class)
+        .channelFactory(ClientSocketChannel::new)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
         .handler(
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/SimpleHttpClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/SimpleHttpClient.java
@@ -176,6 +176,10 @@
         fail(reading, new IOException("the HTTP answer could not be decoded"));
         return;
       }
+      if (ClientSocketChannel.lost(reading.channel())) {
+        fail(reading, new IOException("the connection was lost before the answer was complete"));
+        return;
+      }
       byte[] body = new byte[response.content().readableBytes()];
       response.content().readBytes(body);
       reusable &= HttpUtil.isKeepAlive(response);
