Refuse what a stop cannot complete, and wait until answers are sent

Callers lost 7 streams that a stopping router had accepted later than 3 s after SIGTERM, and 4 of 4 answers that they were still reading.

Cause: a stopping router accepted requests without regard to their time limit; a request counted as ended when its answer was written to the outbound buffer, so that the stop closed connections with unsent answers. The idle time-out used the same state. Closing a socket with unread bytes reset it, and the end of the answer was lost with it. Requests without an answer at the end were closed without one.

Change: DrainAdmission accepts later requests only if their deadline lies before the last answers; the others get 503 at once with a short delay. The stop ends when the connections of callers have closed: these end their output when all answers are sent, and linger for up to 1 s. What is still in progress shortly before the end gets its final answer. Connections are idle only when their answers are sent, and a caller that makes no progress for the idle time-out is disconnected; the send buffer is limited to 128 KiB so that progress can be seen.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Refusal.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Refusal.java
@@ -20,6 +20,8 @@
     NO_CAPACITY,
     /** This router has not read the desired state yet. */
     NOT_CONFIGURED,
+    /** This router stops before the deadline of the request. */
+    STOPPING,
     /** The prompt has a part that crashes replicas. */
     PROMPT_QUARANTINED,
     /** Replicas have rejected the request as often as it may be sent. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpListener.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/HttpListener.java
@@ -18,6 +18,12 @@
 
   private static final int BACKLOG = 1_024;
 
+  /**
+   * Limits the bytes that a peer has not read but this process can no longer see. The default grows
+   * to megabytes, so that a slow reader could not be told from one that has stopped.
+   */
+  private static final int SEND_BUFFER_BYTES = 128 * 1024;
+
   private final ServingLoop loop;
   private final HostPort address;
   private final Consumer<ChannelPipeline> setUp;
@@ -45,6 +51,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
@@ -4,9 +4,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -26,7 +26,6 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
@@ -42,10 +41,11 @@
   private static final int PIPELINED_MAX = 64;
 
   /**
-   * How long the connection stays open for the caller to read an early answer while it is still
-   * sending.
+   * How long the connection stays open after its last answer for the caller to close it. Closing a
+   * socket with unread data would reset the connection, and the caller would lose the end of the
+   * answer.
    */
-  private static final long LINGER_MILLIS = 1_000;
+  private static final long LINGER_NANOS = 1_000_000_000;
 
   private final RequestStarter starter;
   private final ServingState state;
@@ -56,7 +56,10 @@
   private @Nullable Exchange exchange;
   private boolean headExpected = true;
   private boolean closing;
+  private boolean outputEnded;
   private boolean keepAlive;
+  private int unwrittenAnswers;
+  private long unwrittenBytes;
   private long lastActivityNanos;
 
   CallerConnection(RequestStarter starter, ServingState state, LongSupplier nanoTime) {
@@ -159,17 +162,29 @@
     FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
     HttpUtil.setContentLength(response, 0);
     HttpUtil.setKeepAlive(response, false);
-    var unused =
-        context()
-            .writeAndFlush(response)
-            .addListener(
-                written -> {
-                  ((SocketChannel) context().channel()).shutdownOutput();
-                  var timer =
-                      context()
-                          .executor()
-                          .schedule(() -> context().close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
-                });
+    writeLast(response);
+  }
+
+  /** Writes the end of an answer, and keeps the connection from being idle until it is sent. */
+  private void writeLast(Object last) {
+    lastActivityNanos = nanoTime.getAsLong();
+    unwrittenAnswers++;
+    var unused = context().writeAndFlush(last).addListener(written -> onAnswerSent());
+  }
+
+  private void onAnswerSent() {
+    lastActivityNanos = nanoTime.getAsLong();
+    unwrittenAnswers--;
+    endOutputIfSent();
+  }
+
+  /** Tells the caller that no answer follows once all are sent. */
+  private void endOutputIfSent() {
+    if (closing && !outputEnded && unwrittenAnswers == 0 && context().channel().isActive()) {
+      outputEnded = true;
+      context().channel().config().setAutoRead(true);
+      ((SocketChannel) context().channel()).shutdownOutput();
+    }
   }
 
   /** Writes the head of an answer whose body follows in parts. */
@@ -217,11 +232,9 @@
     boolean staysOpen = keepsAlive();
     exchange = null;
     headExpected = true;
-    lastActivityNanos = nanoTime.getAsLong();
-    var written = context().writeAndFlush(last);
-    if (!staysOpen) {
-      closing = true;
-      var unused = written.addListener(ChannelFutureListener.CLOSE);
+    closing |= !staysOpen;
+    writeLast(last);
+    if (closing) {
       return;
     }
     context().channel().config().setAutoRead(true);
@@ -271,25 +284,58 @@
     failed.close();
   }
 
-  /** Closes the connection if the caller has been idle, or has been sending, for too long. */
+  /**
+   * Closes the connection if the caller has been idle, or has been sending a request or reading an
+   * answer without progress, for too long.
+   */
   void checkTimeouts(long idleMaxNanos, long headMaxNanos) {
-    if (exchange != null || closing) {
+    if (exchange != null) {
       return;
     }
+    recordProgress();
     long quietNanos = nanoTime.getAsLong() - lastActivityNanos;
-    if (!headExpected && quietNanos > headMaxNanos) {
-      rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
-    } else if (headExpected && quietNanos > idleMaxNanos) {
+    boolean answered = closing || headExpected;
+    if (quietNanos <= (outputEnded ? LINGER_NANOS : answered ? idleMaxNanos : headMaxNanos)) {
+      return;
+    }
+    if (answered) {
       closing = true;
       context().close();
+    } else {
+      rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+    }
+  }
+
+  /** Counts it as activity if the caller has read a part of the answers since the last call. */
+  private void recordProgress() {
+    ChannelOutboundBuffer buffer = context().channel().unsafe().outboundBuffer();
+    long remaining =
+        buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
+    if (remaining != unwrittenBytes) {
+      unwrittenBytes = remaining;
+      lastActivityNanos = nanoTime.getAsLong();
     }
   }
 
-  /** Closes the connection if no request is in progress on it. */
+  /** Closes the connection, after the answers on their way, if no request is in progress on it. */
   void closeIfIdle() {
-    if (exchange == null && incoming == null && headExpected) {
-      closing = true;
+    if (exchange != null || incoming != null || !headExpected || closing) {
+      return;
+    }
+    closing = true;
+    if (nanoTime.getAsLong() - lastActivityNanos > LINGER_NANOS && unwrittenAnswers == 0) {
       context().close();
+    } else {
+      endOutputIfSent();
+    }
+  }
+
+  /** Gives up the request in progress with its final answer. */
+  void endRequest() {
+    if (exchange != null) {
+      exchange.onRouterStopping();
+    } else if (incoming != null) {
+      rejectAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerListener.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerListener.java
@@ -78,6 +78,16 @@
     forEach(connection -> connection.checkTimeouts(idleMaxNanos, headMaxNanos));
   }
 
+  /** Returns the number of open connections. */
+  int connections() {
+    return connections.size();
+  }
+
+  /** Gives up the requests in progress, each with its final answer. */
+  void endRequests() {
+    forEach(CallerConnection::endRequest);
+  }
+
   private void forEach(Consumer<CallerConnection> action) {
     connections.forEach(
         channel -> {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -138,7 +138,7 @@
     links = new ReplicaConnectionPool(loop, nanoTime);
     callers =
         new CallerListener(loop, settings.callerAddress(), starter(protocol), state, nanoTime);
-    gracefulStop = new GracefulStop(loop, state, callers::stop, nanoTime);
+    gracefulStop = new GracefulStop(loop, state, callers, settings.stopTimeout(), nanoTime);
     PrefixFollowerFactory factory =
         new PrefixFollowerFactory(hedgedStore, loop, random::nextDouble, this.log);
     followed =
@@ -368,7 +368,7 @@
           advertisement.stop();
           gracefulStop.begin();
         });
-    boolean inTime = gracefulStop.await(settings.stopTimeout());
+    boolean inTime = gracefulStop.await();
     log.record(Decision.of(DecisionEvent.PROCESS_STOPPED).with("in_time", inTime));
     loop.stop();
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -170,6 +170,14 @@
     }
   }
 
+  /** Ends the request with its final answer before this router stops. */
+  void onRouterStopping() {
+    if (!ended) {
+      carryOut(
+          lifecycle.onDeadlineExceeded(), HttpResponseStatus.GATEWAY_TIMEOUT, "the router stops");
+    }
+  }
+
   private void onTimeout() {
     if (!ended) {
       if (attempt != null) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/GracefulStop.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/GracefulStop.java
@@ -4,11 +4,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.coltsfootvale.core.course.DrainAdmission;
 import org.coltsfootvale.router.http.ServingLoop;
 
 /**
  * Ends the service for callers: they are directed to other routers at once, those that hold an old
- * answer are served until it has expired, and requests in progress are completed.
+ * answer are served until it has expired, and requests in progress are completed. The stop ends
+ * when all connections of callers are closed, so that no answer is still on its way.
  */
 final class GracefulStop {
 
@@ -17,54 +19,79 @@
   /** How many times its time to live callers may keep an answer. */
   private static final int ANSWER_LIFETIMES = 3;
 
+  /** Covers the delay of the signal, and that between a caller and this router. */
   private static final Duration STOP_MARGIN = Duration.ofMillis(300);
 
+  /** How long before the end requests in progress get their final answer. */
+  private static final Duration FINAL_ANSWERS = Duration.ofMillis(200);
+
   private final ServingLoop loop;
   private final ServingState state;
-  private final Runnable closeListener;
+  private final CallerListener callers;
   private final LongSupplier nanoTime;
+  private final Duration timeLimit;
+  private final DrainAdmission admission;
   private final CountDownLatch stopped = new CountDownLatch(1);
   private long begunNanos;
+  private boolean requestsEnded;
 
   /**
    * Creates a stop that has not begun.
    *
-   * @param closeListener stops to accept requests of callers
+   * @param callers accepts the connections of callers
+   * @param stopTimeout the time after which the process is killed
    */
   GracefulStop(
-      ServingLoop loop, ServingState state, Runnable closeListener, LongSupplier nanoTime) {
+      ServingLoop loop,
+      ServingState state,
+      CallerListener callers,
+      Duration stopTimeout,
+      LongSupplier nanoTime) {
     this.loop = loop;
     this.state = state;
-    this.closeListener = closeListener;
+    this.callers = callers;
     this.nanoTime = nanoTime;
+    this.timeLimit = stopTimeout.minus(STOP_MARGIN);
+    this.admission =
+        new DrainAdmission(answersLive().minus(STOP_MARGIN), timeLimit.minus(FINAL_ANSWERS));
+  }
+
+  private static Duration answersLive() {
+    return EntryPoints.TIME_TO_LIVE.multipliedBy(ANSWER_LIFETIMES);
   }
 
   /** Begins to stop; to be called on the serving loop. */
   void begin() {
     begunNanos = nanoTime.getAsLong();
-    state.drain();
+    state.drain(timeLeft -> admission.accepts(sinceBegin(), timeLeft));
     poll();
   }
 
+  private Duration sinceBegin() {
+    return Duration.ofNanos(nanoTime.getAsLong() - begunNanos);
+  }
+
   private void poll() {
-    Duration answersLive =
-        EntryPoints.TIME_TO_LIVE.multipliedBy(ANSWER_LIFETIMES).plus(STOP_MARGIN);
-    boolean answersExpired = nanoTime.getAsLong() - begunNanos >= answersLive.toNanos();
+    boolean answersExpired = sinceBegin().compareTo(answersLive().plus(STOP_MARGIN)) >= 0;
     if (answersExpired) {
-      // No caller is directed here any more; a request accepted now might not be completed in time.
-      closeListener.run();
+      // No caller is directed here any more.
+      callers.stop();
+    }
+    if (!requestsEnded && sinceBegin().compareTo(timeLimit.minus(FINAL_ANSWERS)) >= 0) {
+      requestsEnded = true;
+      callers.endRequests();
     }
-    if (answersExpired && state.active() == 0) {
+    if (answersExpired && callers.connections() == 0) {
       stopped.countDown();
     } else {
       loop.schedule(POLL_INTERVAL, this::poll);
     }
   }
 
-  /** Waits for the end of all requests; returns whether it came within the time allowed. */
-  boolean await(Duration timeout) {
+  /** Waits for the end of all connections; returns whether it came within the time allowed. */
+  boolean await() {
     try {
-      return stopped.await(timeout.minus(STOP_MARGIN).toMillis(), TimeUnit.MILLISECONDS);
+      return stopped.await(timeLimit.toMillis(), TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return false;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
@@ -89,18 +89,29 @@
   @Nullable Exchange start(CallerConnection caller, IncomingRequest request) {
     Optional<RoutingState> routing = state.routing();
     if (routing.isEmpty()) {
-      Refusal refusal = new Refusal(Refusal.Reason.NOT_CONFIGURED, state.initialRetryDelay());
-      log.record(
-          Decision.of(DecisionEvent.REQUEST_REFUSED, protocol.describe(request.head()).requestId())
-              .with("reason", refusal.reason().name())
-              .with("retry_after_millis", refusal.retryAfter().toMillis()));
-      request.release();
-      writer.refuse(caller, refusal);
+      refuse(
+          caller,
+          request,
+          protocol.describe(request.head()),
+          new Refusal(Refusal.Reason.NOT_CONFIGURED, state.initialRetryDelay()));
       return null;
     }
     return start(caller, request, routing.get());
   }
 
+  private void refuse(
+      CallerConnection caller,
+      IncomingRequest request,
+      RequestDescription description,
+      Refusal refusal) {
+    log.record(
+        Decision.of(DecisionEvent.REQUEST_REFUSED, description.requestId())
+            .with("reason", refusal.reason().name())
+            .with("retry_after_millis", refusal.retryAfter().toMillis()));
+    request.release();
+    writer.refuse(caller, refusal);
+  }
+
   private @Nullable Exchange start(
       CallerConnection caller, IncomingRequest request, RoutingState routing) {
     HttpRequest head = request.head();
@@ -142,11 +153,20 @@
       Route route,
       RequestDescription description,
       Optional<Organisation> organisation) {
+    Duration requested = description.callerTimeout().orElse(route.timeout());
+    Duration timeLimit = requested.compareTo(route.timeout()) < 0 ? requested : route.timeout();
+    long deadlineNanos = request.receivedNanos() + timeLimit.toNanos();
+    if (!state.accepts(Duration.ofNanos(deadlineNanos - nanoTime.getAsLong()))) {
+      refuse(
+          caller,
+          request,
+          description,
+          new Refusal(Refusal.Reason.STOPPING, state.drainRetryDelay()));
+      return null;
+    }
     String service = route.pickService(state.nextRandom());
     RequestLifecycle lifecycle =
         new RequestLifecycle(route, service, description.lastEventId(), budget);
-    Duration requested = description.callerTimeout().orElse(route.timeout());
-    Duration timeLeft = requested.compareTo(route.timeout()) < 0 ? requested : route.timeout();
     Exchange exchange =
         new Exchange(
             new Exchange.Context(
@@ -165,7 +185,7 @@
             description,
             lifecycle,
             organisation,
-            request.receivedNanos() + timeLeft.toNanos());
+            deadlineNanos);
     exchange.begin();
     return exchange.ended() ? null : exchange;
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
@@ -39,6 +40,11 @@
 
   private static final int INITIAL_RETRY_SPREAD_MILLIS = 500;
 
+  /** Short, as other routers are ready; spread, as many callers are refused at once. */
+  private static final Duration DRAIN_RETRY_MIN = Duration.ofMillis(100);
+
+  private static final int DRAIN_RETRY_SPREAD_MILLIS = 200;
+
   private final DispatchOptions options;
   private final String ownDataCentre;
   private final PromptCacheLocations locations;
@@ -51,6 +57,7 @@
   private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
   private Optional<RoutingState> routing = Optional.empty();
   private long desiredStateAppliedNanos;
+  private Predicate<Duration> drainAdmission = timeLeft -> true;
   private boolean draining;
   private int active;
 
@@ -223,9 +230,19 @@
     dispatchers.values().forEach(ServiceDispatcher::placeWaiting);
   }
 
-  /** Directs callers to other routers from now on. */
-  public void drain() {
+  /**
+   * Directs callers to other routers from now on.
+   *
+   * @param admission whether to accept a request with the given time until its deadline
+   */
+  public void drain(Predicate<Duration> admission) {
     draining = true;
+    drainAdmission = admission;
+  }
+
+  /** Returns whether to accept a request with the given time until its deadline. */
+  boolean accepts(Duration timeLeft) {
+    return drainAdmission.test(timeLeft);
   }
 
   /** Returns whether callers are directed to other routers. */
@@ -260,6 +277,11 @@
     return INITIAL_RETRY_MIN.plusMillis(random.nextInt(INITIAL_RETRY_SPREAD_MILLIS));
   }
 
+  /** Returns the retry delay for callers of a stopping router, who should use another one. */
+  Duration drainRetryDelay() {
+    return DRAIN_RETRY_MIN.plusMillis(random.nextInt(DRAIN_RETRY_SPREAD_MILLIS));
+  }
+
   /** Returns a random number in [0, 1). */
   public double nextRandom() {
     return random.nextDouble();
