Keep a connection open if the head of its last answer has announced it

A stream whose head was written before a stop stated that the connection stays open; at its end during the stop the router closed it nevertheless. Callers that sent their next request on it got no answer, and could not know whether it had been read. Idle connections were closed in the same way.

Cause: whether to close was decided at the end of an answer, not when its head was written.

Change: the head decides. The next request on the connection is served or refused, with Connection: close.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
@@ -58,6 +58,7 @@
   private boolean closing;
   private boolean outputEnded;
   private boolean keepAlive;
+  private boolean staysOpen;
   private int unwrittenAnswers;
   private long unwrittenBytes;
   private long lastActivityNanos;
@@ -189,7 +190,7 @@
 
   /** Writes the head of an answer whose body follows in parts. */
   void writeHead(HttpResponse head) {
-    HttpUtil.setKeepAlive(head, keepsAlive());
+    announce(head);
     context().write(head);
   }
 
@@ -210,10 +211,16 @@
 
   /** Writes a complete answer. */
   void writeComplete(FullHttpResponse response) {
-    HttpUtil.setKeepAlive(response, keepsAlive());
+    announce(response);
     finish(response);
   }
 
+  /** States in the head of an answer whether the connection stays open after it. */
+  private void announce(HttpResponse head) {
+    staysOpen = keepAlive && !state.draining();
+    HttpUtil.setKeepAlive(head, staysOpen);
+  }
+
   /**
    * Closes the connection within an answer, so that the caller cannot take it for a complete one.
    */
@@ -229,7 +236,6 @@
   }
 
   private void finish(Object last) {
-    boolean staysOpen = keepsAlive();
     exchange = null;
     headExpected = true;
     closing |= !staysOpen;
@@ -249,10 +255,6 @@
     }
   }
 
-  private boolean keepsAlive() {
-    return keepAlive && !state.draining();
-  }
-
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext changed) {
     if (exchange != null) {
@@ -317,16 +319,16 @@
     }
   }
 
-  /** Closes the connection, after the answers on their way, if no request is in progress on it. */
+  /**
+   * Closes the connection if it has been idle for long enough that the caller has its answers. It
+   * was not told of the close: a request that crosses it must stay unread, so that the caller can
+   * send it elsewhere.
+   */
   void closeIfIdle() {
-    if (exchange != null || incoming != null || !headExpected || closing) {
-      return;
-    }
-    closing = true;
-    if (nanoTime.getAsLong() - lastActivityNanos > LINGER_NANOS && unwrittenAnswers == 0) {
+    boolean idle = exchange == null && incoming == null && headExpected && !closing;
+    if (idle && unwrittenAnswers == 0 && nanoTime.getAsLong() - lastActivityNanos > LINGER_NANOS) {
+      closing = true;
       context().close();
-    } else {
-      endOutputIfSent();
     }
   }
 
