Skip entries of other writers among those of the replicas, and count them

Cause: three texts were enough for an entry; the rest took defaults, and fields of another type were converted. An address with a host name was accepted, whose look-up would block the serving loop.

Others are skipped, counted and logged at most once a second.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
@@ -22,6 +22,8 @@
   DESIRED_STATE_APPLIED("desired_state.applied", Category.CHANGE),
   /** A version of the desired state cannot be read; the previous one stays in force. */
   DESIRED_STATE_UNREADABLE("desired_state.unreadable", Category.CHANGE),
+  /** An entry among those of the replicas cannot be used; the others are. */
+  REPLICA_ENTRY_UNUSABLE("replica.entry_unusable", Category.CHANGE),
   /** A replica was added. */
   REPLICA_ADDED("replica.added", Category.CHANGE),
   /** A replica has departed and gets no new requests. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -108,7 +108,7 @@
       DecisionLog log) {
     this.settings = settings;
     DecisionMetrics metrics = new DecisionMetrics();
-    this.log = metrics.andThen(log);
+    this.log = metrics.andThen(ReplicaFeed.withRateLimit(log, nanoTime));
     MeteredStore meteredStore = new MeteredStore(store);
     this.loop = loop;
     // Constructed directly, as the factory of random sources takes a tenth of the start-up time.
@@ -145,7 +145,7 @@
         factory.create(
             formats,
             new DesiredStateFeed(formats, state, this.log, this::onStoreRecovered),
-            new ReplicaFeed(formats, replicas),
+            new ReplicaFeed(formats, replicas, this.log),
             registry);
     advertisement =
         new LeasedKeyRenewer(
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ReplicaFeed.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ReplicaFeed.java
@@ -1,8 +1,14 @@
 package org.coltsfootvale.router.serving;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.coltsfootvale.core.decision.Decision;
+import org.coltsfootvale.core.decision.DecisionEvent;
+import org.coltsfootvale.core.decision.DecisionLog;
+import org.coltsfootvale.core.decision.RateLimitedDecisionLog;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.store.PrefixListener;
@@ -11,12 +17,23 @@
 /** Applies the entries of replicas in the store to the table of replicas. */
 final class ReplicaFeed implements PrefixListener {
 
+  /** An entry that cannot be used may be written again with each heartbeat. */
+  private static final Duration UNUSABLE_ENTRY_LOG_INTERVAL = Duration.ofSeconds(1);
+
   private final EntryFormats formats;
   private final ReplicaTable table;
+  private final DecisionLog log;
 
-  ReplicaFeed(EntryFormats formats, ReplicaTable table) {
+  ReplicaFeed(EntryFormats formats, ReplicaTable table, DecisionLog log) {
     this.formats = formats;
     this.table = table;
+    this.log = log;
+  }
+
+  /** Returns a log that limits the rate of the lines about entries that cannot be used. */
+  static DecisionLog withRateLimit(DecisionLog log, LongSupplier nanoTime) {
+    return new RateLimitedDecisionLog(
+        log, DecisionEvent.REPLICA_ENTRY_UNUSABLE, UNUSABLE_ENTRY_LOG_INTERVAL, nanoTime);
   }
 
   @Override
@@ -46,6 +63,14 @@
   }
 
   private Optional<Replica> read(StoreEntry entry) {
-    return entry.value().flatMap(value -> formats.replica(entry.key(), value));
+    Optional<Replica> replica = entry.value().flatMap(value -> formats.replica(entry.key(), value));
+    if (entry.value().isPresent() && replica.isEmpty()) {
+      log.record(
+          Decision.of(DecisionEvent.REPLICA_ENTRY_UNUSABLE)
+              .with("key", entry.key())
+              .with("revision", entry.revision())
+              .with("remedy", "find who writes the key, and delete it or complete its fields"));
+    }
+    return replica;
   }
 }
