Accept only a continuation after a stream has begun

After a stream had begun and broken off, a text of the next replica with status 200 reached the caller as an event, and an answer without a new event ended the stream as complete.

Cause: any 2xx with a signature counted as the continuation.

Change: events of a continuation need an id, and it has to bring an event that the caller does not have; otherwise the attempt is lost, and the stream is resumed elsewhere or broken off. Errors and refusals did no harm before.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -31,7 +31,9 @@
   private @Nullable ReplicaConnection link;
   private @Nullable HttpResponse head;
   private @Nullable AnswerMetadata answerMetadata;
+  private final boolean continuation;
   private boolean begun;
+  private boolean delivered;
   private boolean ended;
 
   /**
@@ -53,6 +55,7 @@
     this.dispatcher = context.state().dispatcher(lifecycle.service());
     this.replica = replica;
     this.cacheSource = cacheSource;
+    this.continuation = lifecycle.answerBegun();
     this.silence = new SilenceWatch(context.loop(), context.nanoTime());
     this.evidence = new AttemptEvidence(this, context, replica, exchange.partKeys());
   }
@@ -234,10 +237,16 @@
       replica.onAnswerStarted(exchange);
     }
     evidence.onPart();
+    if (continuation && EventSplitter.idOf(part).isEmpty()) {
+      replica.health().onFailure();
+      lost("a part without an id is no continuation of the stream");
+      return;
+    }
     boolean first = !lifecycle.answerBegun();
     if (lifecycle.route().resumable() && alreadyDelivered(part)) {
       return;
     }
+    delivered = true;
     if (first && head != null) {
       context.writer().deliverHead(caller, head);
     }
@@ -337,9 +346,10 @@
     lost(String.valueOf(cause.getMessage()));
   }
 
-  /** Returns whether a stream without framing has no event, so that its end is not credible. */
+  /** Returns whether a stream without framing, or a continuation, has ended without an event. */
   private boolean endedBeforeFirstEvent(HttpResponse response) {
-    return answer.byEvents() && !begun && AnswerStatus.endsWithConnection(response);
+    return answer.byEvents()
+        && (continuation ? !delivered : !begun && AnswerStatus.endsWithConnection(response));
   }
 
   /** Returns whether the prompt has a part. */
