Identify reports of a store recovery, and count messages to peers

During a rolling restart of 14 routers requests stayed without an answer beyond their time-out: of 4,977 at routers in touch 89 at the time-out, 62 half a second later, 7 for 9 s; 5 to 8 cores were busy, also after the last restart.

Cause: a router that received a report of a store recovery sent it on to all routers that report to it, also to the sender, and nothing told that it had been there before. Two routers that take each other for reporters, as around the size from which a fleet uses relays, passed it back and forth without end. The new counter of messages to peers shows it: 1.3 million of kind "recovery" in the first seconds of the storm, beside 1,590 updates, 211 changes and 34 state requests; none of kind "recovery" before it.

Change: a report names its observer's incarnation and a number; a router applies and sends it once, combines those of several observers within 200 ms, and sends no update back to where it came from. One observation leads to one report instead of three.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/store/PrefixFollower.java
@@ -31,11 +31,10 @@
   private final RevisionedStore store;
   private final String prefix;
   private final PrefixListener listener;
-  private final Duration wait;
-  private final Duration coalescingDelay;
-  private final Duration initialWatchDelay;
+  private final FollowTimings timings;
   private final Scheduler scheduler;
   private final DoubleSupplier random;
+  private final RecoveryReports recoveryReports;
   private final DecisionLog log;
   private final PrefixState state = new PrefixState();
   private Consumer<PrefixUpdate> onUpdate = update -> {};
@@ -53,32 +52,28 @@
    * @param store the store
    * @param prefix the prefix of the keys
    * @param listener receives full reads and changes
-   * @param wait the longest time that one call waits for changes
-   * @param coalescingDelay the delay after a change, so that one call returns several changes
-   * @param initialWatchDelay the delay after a full read, in which a peer that reads the changes
-   *     for this router may be found
+   * @param timings the time of a call and the delays between calls
    * @param scheduler schedules the next call
    * @param random supplies numbers in [0, 1) that randomise delays
+   * @param recoveryReports decides which reports of the store's recovery are applied and published
    * @param log records the loss and the recovery of the store
    */
   public PrefixFollower(
       RevisionedStore store,
       String prefix,
       PrefixListener listener,
-      Duration wait,
-      Duration coalescingDelay,
-      Duration initialWatchDelay,
+      FollowTimings timings,
       Scheduler scheduler,
       DoubleSupplier random,
+      RecoveryReports recoveryReports,
       DecisionLog log) {
     this.store = store;
     this.prefix = prefix;
     this.listener = listener;
-    this.wait = wait;
-    this.coalescingDelay = coalescingDelay;
-    this.initialWatchDelay = initialWatchDelay;
+    this.timings = timings;
     this.scheduler = scheduler;
     this.random = random;
+    this.recoveryReports = recoveryReports;
     this.log = log;
     store.era().onNewEra(this::onNewEra);
   }
@@ -146,12 +141,16 @@
   }
 
   /**
-   * Replaces the open call after another call has found that the store recovered: the open one may
-   * have been lost in the outage without an error.
+   * Starts the grace period of expired entries after another follower has found that the store
+   * recovered, and replaces the open call, which may have been lost in the outage without an error.
+   * Publishes nothing, as the other follower does.
    */
   public void onStoreRecovered() {
-    if (running && readsStore && current()) {
-      reportRecovery();
+    if (!running || (readsStore && !current())) {
+      return;
+    }
+    listener.onStoreRecovered();
+    if (readsStore) {
       generation++;
       awaitChanges(generation);
     }
@@ -192,10 +191,10 @@
     if (!page.position().isBefore(state.position())) {
       applyFullState(page.entries(), page.position());
     }
-    if (initialWatchDelay.isZero()) {
+    if (timings.initialWatchDelay().isZero()) {
       awaitChanges(callGeneration);
     } else {
-      scheduler.schedule(initialWatchDelay, () -> awaitChanges(callGeneration));
+      scheduler.schedule(timings.initialWatchDelay(), () -> awaitChanges(callGeneration));
     }
   }
 
@@ -205,7 +204,7 @@
     }
     var unused =
         store
-            .awaitChanges(prefix, state.position().revision(), wait)
+            .awaitChanges(prefix, state.position().revision(), timings.changesWait())
             .whenComplete(
                 (changes, failure) -> {
                   if (isStale(callGeneration)) {
@@ -227,10 +226,10 @@
     }
     consecutiveHistoryLosses = 0;
     applyChanges(changes.entries(), changes.position());
-    if (changes.entries().isEmpty() || coalescingDelay.isZero()) {
+    if (changes.entries().isEmpty() || timings.coalescingDelay().isZero()) {
       awaitChanges(callGeneration);
     } else {
-      scheduler.schedule(coalescingDelay, () -> awaitChanges(callGeneration));
+      scheduler.schedule(timings.coalescingDelay(), () -> awaitChanges(callGeneration));
     }
   }
 
@@ -239,8 +238,7 @@
     List<StoreEntry> applied = state.applyChanges(changes, position);
     applied.forEach(listener::onChange);
     if (!applied.isEmpty()) {
-      onUpdate.accept(
-          new PrefixUpdate(prefix, baseRevision, state.position(), applied, false, false));
+      onUpdate.accept(PrefixUpdate.ofChanges(prefix, baseRevision, state.position(), applied));
     }
   }
 
@@ -249,16 +247,17 @@
     long baseRevision = state.latestChange().revision();
     boolean restored = state.precedesEraOf(position);
     if (restored) {
-      reportRecovery();
+      // The update below tells the peers so.
+      listener.onStoreRecovered();
     }
     List<StoreEntry> applied = state.replaceAll(entries, position);
     if (restored) {
       listener.onRestored(entries);
-      onUpdate.accept(new PrefixUpdate(prefix, 0, position, entries, true, false));
+      onUpdate.accept(PrefixUpdate.ofFullState(prefix, position, entries));
     } else {
       listener.onFullRead(entries);
       if (!applied.isEmpty()) {
-        onUpdate.accept(new PrefixUpdate(prefix, baseRevision, position, applied, false, false));
+        onUpdate.accept(PrefixUpdate.ofChanges(prefix, baseRevision, position, applied));
       }
     }
     store.era().observe(position.era());
@@ -270,8 +269,11 @@
    * @return false if earlier changes are missing, so that the peer's full state must be fetched
    */
   public boolean apply(PrefixUpdate update) {
-    if (update.storeRecovered()) {
-      reportRecovery();
+    if (update.recovery().isPresent()) {
+      if (recoveryReports.receive(update.recovery().get())) {
+        listener.onStoreRecovered();
+        recoveryReports.send(update, onUpdate);
+      }
       return true;
     }
     if (update.full()) {
@@ -335,7 +337,7 @@
   /** Reports that the store was unreachable, so that entries may have expired. */
   private void reportRecovery() {
     listener.onStoreRecovered();
-    onUpdate.accept(PrefixUpdate.ofStoreRecovery(prefix));
+    recoveryReports.send(PrefixUpdate.ofStoreRecovery(prefix, recoveryReports.observe()), onUpdate);
   }
 
   private void onCallFailed(long callGeneration, Throwable failure) {
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerFixture.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerFixture.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.coltsfootvale.core.decision.DecisionLog;
 import org.testng.annotations.BeforeMethod;
 
@@ -14,6 +15,8 @@
   ScriptedStore store = new ScriptedStore();
   List<String> events = new ArrayList<>();
   List<Runnable> scheduled = new ArrayList<>();
+  final AtomicLong nowNanos = new AtomicLong();
+  private long lastOrigin;
   Duration coalescingDelay = Duration.ZERO;
   Duration initialWatchDelay = Duration.ZERO;
   PrefixFollower follower = create();
@@ -34,7 +37,8 @@
   }
 
   static PrefixUpdate update(long baseRevision, long revision, StoreEntry... entries) {
-    return new PrefixUpdate("p/", baseRevision, at(revision), List.of(entries), false, false);
+    return new PrefixUpdate(
+        "p/", baseRevision, at(revision), List.of(entries), false, Optional.empty());
   }
 
   void readEmpty() {
@@ -75,11 +79,10 @@
         store,
         "p/",
         listener,
-        Duration.ofSeconds(5),
-        coalescingDelay,
-        initialWatchDelay,
+        new FollowTimings(Duration.ofSeconds(5), coalescingDelay, initialWatchDelay),
         (delay, task) -> scheduled.add(task),
         () -> 0.5,
+        new RecoveryReports(++lastOrigin, nowNanos::get),
         DecisionLog.NONE);
   }
 
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/PrefixFollowerTest.java
@@ -224,8 +224,10 @@
     store.fail(StoreException.Fault.NO_ANSWER);
     runScheduled();
     store.answer(new StorePage(List.of(entry("p/a", 11)), true, at(15)));
+    StoreRecovery recovery = published.get(0).recovery().orElseThrow();
     assertEquals(
-        published, List.of(PrefixUpdate.ofStoreRecovery("p/"), update(0, 15, entry("p/a", 11))));
+        published,
+        List.of(PrefixUpdate.ofStoreRecovery("p/", recovery), update(0, 15, entry("p/a", 11))));
   }
 
   @Test
@@ -234,9 +236,28 @@
     List<PrefixUpdate> published = new ArrayList<>();
     follower.onUpdate(published::add);
     store.fail(StoreException.Fault.NO_ANSWER);
-    PrefixUpdate recovery = PrefixUpdate.ofStoreRecovery("p/");
+    PrefixUpdate recovery = PrefixUpdate.ofStoreRecovery("p/", new StoreRecovery(77, 1));
     follower.apply(recovery);
     assertEquals(events, List.of("full read", "recovered"));
     assertEquals(published, List.of(recovery));
   }
+
+  @Test
+  public void anUnidentifiedRecoveryReportIsAppliedAndNotForwarded() {
+    readEmpty();
+    List<PrefixUpdate> published = new ArrayList<>();
+    follower.onUpdate(published::add);
+    follower.apply(PrefixUpdate.ofStoreRecovery("p/", new StoreRecovery(0, 0)));
+    assertEquals(events, List.of("full read", "recovered"));
+    assertEquals(published, List.of());
+  }
+
+  @Test
+  public void aRecoveryReportedByAnotherFollowerIsAppliedWithoutOwnCalls() {
+    readEmpty();
+    follower.setReadsStore(false);
+    follower.onStoreRecovered();
+    assertEquals(events, List.of("full read", "recovered"));
+    assertEquals(store.calls.size(), 2);
+  }
 }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/RestoredPrefixTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/store/RestoredPrefixTest.java
@@ -46,7 +46,7 @@
     assertEquals(follower.currentEntries(), List.of(other));
     assertEquals(
         published.get(published.size() - 1),
-        new PrefixUpdate("p/", 0, restoredAt(10), List.of(other), true, false));
+        new PrefixUpdate("p/", 0, restoredAt(10), List.of(other), true, Optional.empty()));
   }
 
   @Test
@@ -96,10 +96,12 @@
     follower.setReadsStore(false);
     assertFalse(
         follower.apply(
-            new PrefixUpdate("p/", 5, restoredAt(6), List.of(entry("p/a", 6)), false, false)));
+            new PrefixUpdate(
+                "p/", 5, restoredAt(6), List.of(entry("p/a", 6)), false, Optional.empty())));
     assertTrue(
         follower.apply(
-            new PrefixUpdate("p/", 0, restoredAt(6), List.of(entry("p/a", 6)), true, false)));
+            new PrefixUpdate(
+                "p/", 0, restoredAt(6), List.of(entry("p/a", 6)), true, Optional.empty())));
     assertEquals(events, List.of("full read", "recovered", "restored p/a@6"));
     assertEquals(store.era().latest(), 2);
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/metrics/MetricsPage.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/metrics/MetricsPage.java
@@ -11,16 +11,20 @@
 
   private final DecisionMetrics decisions;
   private final MeteredStore store;
+  private final PeerMessageMetrics peerMessages;
 
   /**
    * Creates a page.
    *
    * @param decisions the counts of decisions
    * @param store the counts of calls to the store
+   * @param peerMessages the counts of messages to other routers
    */
-  public MetricsPage(DecisionMetrics decisions, MeteredStore store) {
+  public MetricsPage(
+      DecisionMetrics decisions, MeteredStore store, PeerMessageMetrics peerMessages) {
     this.decisions = decisions;
     this.store = store;
+    this.peerMessages = peerMessages;
   }
 
   /**
@@ -33,6 +37,7 @@
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     decisions.bindTo(registry);
     store.bindTo(registry);
+    peerMessages.bindTo(registry);
     for (GaugeSample sample : samples) {
       Tags tags = Tags.empty();
       for (var label : sample.labels().entrySet()) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -20,7 +20,6 @@
 import org.coltsfootvale.core.registry.LeasedKeyRenewer;
 import org.coltsfootvale.core.registry.LoopLagDetector;
 import org.coltsfootvale.core.registry.RelayTopology;
-import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.registry.UpdateTimings;
 import org.coltsfootvale.core.replica.Replica;
@@ -113,8 +112,7 @@
     this.loop = loop;
     // Constructed directly, as the factory of random sources takes a tenth of the start-up time.
     UniformRandomProvider random = new SplitMix64(System.nanoTime());
-    RouterAdvertisement self = settings.advertisement();
-    registry = new RouterRegistry(self, EXPIRY_GRACE, nanoTime);
+    registry = new RouterRegistry(settings.advertisement(), EXPIRY_GRACE, nanoTime);
     RelayTopology topology = new RelayTopology(registry, nanoTime);
     locations = new PromptCacheLocations(CACHE_LIFE, nanoTime);
     peerRequestCounts =
@@ -140,7 +138,8 @@
         new CallerListener(loop, settings.callerAddress(), starter(protocol), state, nanoTime);
     gracefulStop = new GracefulStop(loop, state, callers, settings.stopTimeout(), nanoTime);
     PrefixFollowerFactory factory =
-        new PrefixFollowerFactory(hedgedStore, loop, random::nextDouble, this.log);
+        new PrefixFollowerFactory(
+            hedgedStore, loop, random::nextDouble, nanoTime, settings.id(), this.log);
     followed =
         factory.create(
             formats,
@@ -151,7 +150,7 @@
         new LeasedKeyRenewer(
             meteredStore,
             RouterRegistry.PREFIX + settings.id(),
-            self.encode(),
+            settings.advertisement().encode(),
             ADVERTISEMENT_LIFE,
             loop,
             random::nextDouble);
@@ -163,7 +162,7 @@
             new EntryPoints(
                 registry, fleetExchange::activePeerIds, fleetExchange::laggingIds, this::ready),
             formats);
-    monitoring = monitoring(new MetricsPage(metrics, meteredStore));
+    monitoring = monitoring(new MetricsPage(metrics, meteredStore, fleetExchange.messageMetrics()));
   }
 
   private RequestStarter starter(CallerProtocol protocol) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -45,6 +45,7 @@
 import org.coltsfootvale.protocol.wire.RouterUpdate;
 import org.coltsfootvale.protocol.wire.ShareGrant;
 import org.coltsfootvale.router.http.ServingLoop;
+import org.coltsfootvale.router.metrics.PeerMessageMetrics;
 
 /**
  * Exchanges state between the routers of a fleet: their requests at each replica, the placements of
@@ -69,6 +70,7 @@
   private final RelayTopology topology;
   private final FleetUpdates updates;
   private final KnownPeers peers;
+  private final PeerMessageMetrics messages = new PeerMessageMetrics();
   private final DecisionLog log;
   private final StoreExchange storeExchange;
   private boolean placementsRequested;
@@ -112,6 +114,7 @@
             transport,
             followed,
             new StoreReaderRole(topology, nanoTime),
+            messages,
             log,
             nanoTime);
   }
@@ -126,6 +129,11 @@
     transport.stop();
   }
 
+  /** Returns the counts of the messages that are sent. */
+  PeerMessageMetrics messageMetrics() {
+    return messages;
+  }
+
   /** Sends the updates since the last call; returns the delay until the next call. */
   Duration sendUpdates() {
     peerRequestCounts.expire();
@@ -180,6 +188,8 @@
 
   private void send(List<RouterAdvertisement> receivers, RouterUpdate update) {
     Envelope message = Envelope.newBuilder().setServingNews(update).build();
+    messages.record(
+        PeerMessageMetrics.Kind.UPDATE, PeerMessageMetrics.Cause.INTERVAL, receivers.size());
     receivers.forEach(receiver -> transport.send(receiver.peerAddress(), message));
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/PrefixFollowerFactory.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/PrefixFollowerFactory.java
@@ -2,11 +2,15 @@
 
 import java.time.Duration;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.registry.RouterRegistry;
+import org.coltsfootvale.core.store.FollowTimings;
 import org.coltsfootvale.core.store.PrefixFollower;
 import org.coltsfootvale.core.store.PrefixListener;
+import org.coltsfootvale.core.store.RecoveryReports;
 import org.coltsfootvale.core.store.RevisionedStore;
+import org.coltsfootvale.core.support.RendezvousHashing;
 import org.coltsfootvale.router.http.ServingLoop;
 
 /** Creates the followers of the prefixes that an entry router reads from the store. */
@@ -39,13 +43,29 @@
   private final RevisionedStore store;
   private final ServingLoop loop;
   private final DoubleSupplier random;
+  private final LongSupplier nanoTime;
+  private final long incarnation;
   private final DecisionLog log;
 
+  /**
+   * Creates a factory.
+   *
+   * @param routerId the id of this router
+   */
   PrefixFollowerFactory(
-      RevisionedStore store, ServingLoop loop, DoubleSupplier random, DecisionLog log) {
+      RevisionedStore store,
+      ServingLoop loop,
+      DoubleSupplier random,
+      LongSupplier nanoTime,
+      String routerId,
+      DecisionLog log) {
     this.store = store;
     this.loop = loop;
     this.random = random;
+    this.nanoTime = nanoTime;
+    this.incarnation =
+        RendezvousHashing.combine(
+            RendezvousHashing.hash(routerId), Double.doubleToLongBits(random.getAsDouble()));
     this.log = log;
   }
 
@@ -65,6 +85,13 @@
   private PrefixFollower follow(
       String prefix, PrefixListener listener, Duration wait, Duration settle) {
     return new PrefixFollower(
-        store, prefix, listener, wait, settle, READER_WAIT, loop, random, log);
+        store,
+        prefix,
+        listener,
+        new FollowTimings(wait, settle, READER_WAIT),
+        loop,
+        random,
+        new RecoveryReports(incarnation, nanoTime),
+        log);
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/PrefixMessages.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/PrefixMessages.java
@@ -12,6 +12,7 @@
 import org.coltsfootvale.core.store.PrefixUpdate;
 import org.coltsfootvale.core.store.StoreEntry;
 import org.coltsfootvale.core.store.StorePosition;
+import org.coltsfootvale.core.store.StoreRecovery;
 import org.coltsfootvale.protocol.wire.PrefixChanges;
 import org.coltsfootvale.protocol.wire.PrefixEntry;
 
@@ -35,8 +36,15 @@
             .setBaseRevision(update.baseRevision())
             .setEra(update.position().era())
             .setRevision(update.position().revision())
-            .setWhole(update.full())
-            .setStoreReturned(update.storeRecovered());
+            .setWhole(update.full());
+    update
+        .recovery()
+        .ifPresent(
+            recovery ->
+                changes
+                    .setStoreReturned(true)
+                    .setRecoveryOrigin(recovery.origin())
+                    .setRecoveryNumber(recovery.number()));
     update.entries().forEach(entry -> changes.addEntries(entry(entry)));
     return changes.build();
   }
@@ -48,7 +56,13 @@
         new StorePosition(changes.getEra(), changes.getRevision()),
         entries(changes.getEntriesList()),
         changes.getWhole(),
-        changes.getStoreReturned());
+        recovery(changes));
+  }
+
+  private static Optional<StoreRecovery> recovery(PrefixChanges changes) {
+    return changes.getStoreReturned()
+        ? Optional.of(new StoreRecovery(changes.getRecoveryOrigin(), changes.getRecoveryNumber()))
+        : Optional.empty();
   }
 
   static PrefixEntry entry(StoreEntry entry) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreExchange.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
@@ -24,6 +26,9 @@
 import org.coltsfootvale.protocol.wire.PrefixReply;
 import org.coltsfootvale.protocol.wire.PrefixRequest;
 import org.coltsfootvale.protocol.wire.RouterUpdate;
+import org.coltsfootvale.router.metrics.PeerMessageMetrics;
+import org.coltsfootvale.router.metrics.PeerMessageMetrics.Cause;
+import org.coltsfootvale.router.metrics.PeerMessageMetrics.Kind;
 
 /**
  * Exchanges the contents of the platform's store between routers: relays forward the changes they
@@ -48,6 +53,7 @@
   private final PeerTransport transport;
   private final List<PrefixFollower> followers;
   private final StoreReaderRole readerRole;
+  private final PeerMessageMetrics messages;
   private final DecisionLog log;
   private final List<RevisionLagDetector<StorePosition>> lags = new ArrayList<>();
   private final PrefixFollower desiredState;
@@ -55,6 +61,7 @@
   private final RevisionLagDetector<Long> versionLag;
   private boolean readsStore = true;
   private boolean applyingPeerState;
+  private Optional<HostPort> sender = Optional.empty();
   private int pendingRequests;
 
   StoreExchange(
@@ -64,6 +71,7 @@
       PeerTransport transport,
       FollowedPrefixes followed,
       StoreReaderRole readerRole,
+      PeerMessageMetrics messages,
       DecisionLog log,
       LongSupplier nanoTime) {
     this.topology = topology;
@@ -72,6 +80,7 @@
     this.transport = transport;
     this.followers = followed.all();
     this.readerRole = readerRole;
+    this.messages = messages;
     this.log = log;
     this.desiredStateFeed = followed.desiredStateFeed();
     this.desiredState = followed.desiredState();
@@ -111,7 +120,9 @@
       return;
     }
     List<RouterAdvertisement> receivers = new ArrayList<>(updates.reporters());
-    if (!applyingPeerState) {
+    if (applyingPeerState) {
+      sender.ifPresent(peer -> receivers.removeIf(router -> router.peerAddress().equals(peer)));
+    } else {
       // A relay that sends an update to this one sends it to the others itself.
       topology
           .relay()
@@ -126,19 +137,27 @@
     if (!receivers.isEmpty()) {
       Envelope message =
           Envelope.newBuilder().setPrefixChanges(PrefixMessages.changes(update)).build();
+      messages.record(
+          kindOf(update), applyingPeerState ? Cause.PEER : Cause.STORE, receivers.size());
       receivers.forEach(receiver -> transport.send(receiver.peerAddress(), message));
     }
   }
 
+  private static Kind kindOf(PrefixUpdate update) {
+    if (update.recovery().isPresent()) {
+      return Kind.RECOVERY;
+    }
+    return update.full() ? Kind.FULL_STATE : Kind.CHANGES;
+  }
+
   /** Applies changes that another router forwards. */
   void onChanges(RouterIncarnation from, PrefixChanges changes) {
     for (PrefixFollower follower : followers) {
       if (follower.prefix().equals(changes.getPrefix())) {
-        applyingPeerState = true;
-        boolean complete = follower.apply(PrefixMessages.update(changes));
-        applyingPeerState = false;
+        Optional<HostPort> peer = peers.find(from).map(RouterAdvertisement::peerAddress);
+        boolean complete = applyFrom(peer, () -> follower.apply(PrefixMessages.update(changes)));
         if (!complete) {
-          peers.find(from).ifPresent(peer -> request(peer.peerAddress(), follower));
+          peer.ifPresent(address -> request(address, follower, Cause.BEHIND_PEER));
         }
       }
     }
@@ -151,10 +170,13 @@
     if (outdated.isEmpty() || pendingRequests > 0) {
       return;
     }
-    peers.any().ifPresent(peer -> outdated.forEach(follower -> request(peer, follower)));
+    peers
+        .any()
+        .ifPresent(peer -> outdated.forEach(follower -> request(peer, follower, Cause.STORE_LOST)));
   }
 
-  private void request(HostPort peer, PrefixFollower follower) {
+  private void request(HostPort peer, PrefixFollower follower, Cause cause) {
+    messages.record(Kind.STATE_REQUEST, cause, 1);
     Envelope request =
         Envelope.newBuilder()
             .setPrefixRequest(PrefixRequest.newBuilder().setPrefix(follower.prefix()))
@@ -171,20 +193,36 @@
                         "peer %s returned no entries of prefix %s: %s",
                         peer, follower.prefix(), Failures.unwrap(failure).getMessage());
                   } else {
-                    applyReply(follower, reply.getPrefixReply());
+                    applyReply(peer, follower, reply.getPrefixReply());
                   }
                 });
   }
 
-  private void applyReply(PrefixFollower follower, PrefixReply reply) {
+  private void applyReply(HostPort peer, PrefixFollower follower, PrefixReply reply) {
+    var unused =
+        applyFrom(
+            Optional.of(peer),
+            () -> {
+              follower.apply(
+                  PrefixMessages.entries(reply.getEntriesList()),
+                  new StorePosition(reply.getEra(), reply.getRevision()));
+              if (reply.hasInForce()) {
+                desiredStateFeed.onChange(PrefixMessages.entry(reply.getInForce()));
+              }
+              return true;
+            });
+  }
+
+  /** Applies state of a peer, to which nothing of it is forwarded. */
+  private boolean applyFrom(Optional<HostPort> peer, BooleanSupplier application) {
     applyingPeerState = true;
-    follower.apply(
-        PrefixMessages.entries(reply.getEntriesList()),
-        new StorePosition(reply.getEra(), reply.getRevision()));
-    if (reply.hasInForce()) {
-      desiredStateFeed.onChange(PrefixMessages.entry(reply.getInForce()));
+    sender = peer;
+    try {
+      return application.getAsBoolean();
+    } finally {
+      applyingPeerState = false;
+      sender = Optional.empty();
     }
-    applyingPeerState = false;
   }
 
   /** Returns the entries of a prefix in this router's view. */
@@ -212,18 +250,22 @@
       PrefixFollower follower = followers.get(i);
       StorePosition seen = new StorePosition(update.getPrefixEras(i), update.getPrefixChanges(i));
       if (lags.get(i).observe(seen, follower.position())) {
-        peers.find(from).ifPresent(peer -> request(peer.peerAddress(), follower));
+        peers
+            .find(from)
+            .ifPresent(peer -> request(peer.peerAddress(), follower, Cause.BEHIND_PEER));
       }
     }
     if (versionLag.observe(update.getDesiredStateVersion(), desiredStateFeed.appliedVersion())) {
-      peers.find(from).ifPresent(peer -> request(peer.peerAddress(), desiredState));
+      peers
+          .find(from)
+          .ifPresent(peer -> request(peer.peerAddress(), desiredState, Cause.BEHIND_PEER));
     }
   }
 
   /** Requests the desired state at once if the peer has applied a later version. */
   void requestIfLater(HostPort peer, long version) {
     if (version > desiredStateFeed.appliedVersion()) {
-      request(peer, desiredState);
+      request(peer, desiredState, Cause.BEHIND_PEER);
     }
   }
 }
