Serve a router that sends to all by one relay while views differ

Around the size from which a fleet uses relays, a router that still sends its updates to all was taken for a reporter by every router that uses relays: each of these sent it the state of the fleet in every round and each change in the store. The other way round, a router that sends to all gave nothing to those that took it for their relay.

Cause: "reports to this router" was read from the scope of an update, which is the same in both ways of exchange.

Change: an update says whether it was sent to all. Its sender is then served by the relay of its data centre alone, and a router serves those that take it for their relay in either way of exchange. A request for state that a peer has not answered yet is not sent again.

Evidence: eachRouterReliesOnAtMostOneOtherWhileTheViewsOfAFleetDiffer (fleets of 13 and 14, half of them with each view): with the earlier rule 12 routers serve one; now at most one does, and each that reports to a relay is served. RelayedFleetTest passes.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RelayTopology.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RelayTopology.java
@@ -95,6 +95,26 @@
     return fullMesh() ? registry.size() : inDataCentre(registry.self().dataCentre()).size();
   }
 
+  /**
+   * Returns whether another router relies on this one for the updates of others and for the changes
+   * in the store. Their views of the fleet may differ, so that one sends to all routers while the
+   * other uses relays: then the relay of its data centre serves it, and no other router.
+   *
+   * @param routerId the id of a router that sends this one updates about itself
+   * @param sendsToAll whether it sends them to all routers, rather than to its relay
+   */
+  public boolean reliesOnThisRouter(String routerId, boolean sendsToAll) {
+    if (!sendsToAll) {
+      return true;
+    }
+    return !fullMesh()
+        && relay().isEmpty()
+        && registry
+            .find(routerId)
+            .filter(router -> router.dataCentre().equals(registry.self().dataCentre()))
+            .isPresent();
+  }
+
   /** Records that an update was sent to a relay, which is expected to respond with its own. */
   public void onUpdateSent(RouterAdvertisement relay) {
     long now = nanoTime.getAsLong();
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
@@ -123,6 +123,11 @@
     return sorted;
   }
 
+  /** Returns the advertisement of another router. */
+  Optional<RouterAdvertisement> find(String routerId) {
+    return routers.find(PREFIX + routerId);
+  }
+
   /** Returns the id of an advertised router by its hash. */
   public Optional<String> idOf(long hash) {
     routers();
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/RelayTopologyTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/RelayTopologyTest.java
@@ -99,6 +99,24 @@
     }
   }
 
+  /** Half of the routers still have the view in which all send to all. */
+  @Test
+  public void eachRouterReliesOnAtMostOneOtherWhileTheViewsOfAFleetDiffer() {
+    for (int size = RelayTopology.FULL_MESH_MAX + 1; size <= 14; size++) {
+      List<RouterAdvertisement> fleet = fleet(size);
+      List<Member> members = new ArrayList<>();
+      for (int i = 0; i < size; i++) {
+        members.add(i % 2 == 0 ? smallView(fleet, i) : new Member(fleet, i));
+      }
+      for (Member sender : members) {
+        long reliesOn = members.stream().filter(other -> other.serves(sender)).count();
+        assertTrue(reliesOn <= 1, reliesOn + " routers serve " + sender.self.id());
+        boolean reportsToRelay = !sender.topology.fullMesh() && sender.topology.relay().isPresent();
+        assertTrue(!reportsToRelay || reliesOn == 1, sender.self.id() + " is not served");
+      }
+    }
+  }
+
   @Test
   public void anUnresponsiveRelayIsSkippedForAWhile() {
     Member member = memberWithRelay();
@@ -216,6 +234,15 @@
     now.addAndGet(TimeUnit.MILLISECONDS.toNanos(time.toMillis()));
   }
 
+  /** Returns a router that knows only as many routers as send to all. */
+  private Member smallView(List<RouterAdvertisement> fleet, int index) {
+    List<RouterAdvertisement> known = new ArrayList<>(fleet);
+    RouterAdvertisement self = known.remove(index);
+    known = new ArrayList<>(known.subList(0, RelayTopology.FULL_MESH_MAX - 1));
+    known.add(self);
+    return new Member(known, known.size() - 1);
+  }
+
   private static List<RouterAdvertisement> fleet(int size) {
     List<RouterAdvertisement> fleet = new ArrayList<>();
     for (int i = 0; i < size; i++) {
@@ -249,6 +276,14 @@
       topology = new RelayTopology(registry, now::get);
     }
 
+    /** Returns whether this router sends another one the updates of others. */
+    boolean serves(Member sender) {
+      boolean receivesUpdates = sender.topology.fullMesh() || sender.relayId().equals(self.id());
+      return !sender.self.equals(self)
+          && receivesUpdates
+          && topology.reliesOnThisRouter(sender.self.id(), sender.topology.fullMesh());
+    }
+
     String relayId() {
       return topology.relay().map(RouterAdvertisement::id).orElse(self.id());
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetExchange.java
@@ -149,6 +149,10 @@
     } else {
       sendThroughRelays(recentDepartures);
     }
+    List<RouterAdvertisement> reporters = updates.reporters();
+    if (!reporters.isEmpty()) {
+      send(reporters, updates.ofFleet(recentDepartures));
+    }
     updates.onSent();
     return UpdateTimings.interval(topology.exchangeGroupSize());
   }
@@ -166,10 +170,6 @@
       others.forEach(topology::onUpdateSent);
       send(others, updates.ofDataCentre(recentDepartures));
     }
-    List<RouterAdvertisement> reporters = updates.reporters();
-    if (!reporters.isEmpty()) {
-      send(reporters, updates.ofFleet(recentDepartures));
-    }
   }
 
   private static Set<String> ids(List<RouterAdvertisement> routers) {
@@ -241,7 +241,7 @@
     }
     boolean newReporter = !updates.reports(peer);
     updates.onUpdate(peer, update);
-    if (newReporter && updates.reports(peer) && !topology.fullMesh()) {
+    if (newReporter && updates.reports(peer)) {
       peers
           .find(from)
           .ifPresent(
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetUpdates.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FleetUpdates.java
@@ -101,6 +101,7 @@
         peer,
         new PeerStatus(
             update.getScope(),
+            update.getSentToAll(),
             routers,
             Set.copyOf(update.getLateRoutersList()),
             update.getStoreCurrent(),
@@ -134,7 +135,7 @@
   }
 
   private void collectForRelaying(RouterUpdate update) {
-    if (update.getScope() == RouterUpdate.Scope.ROUTER && !topology.fullMesh()) {
+    if (update.getScope() == RouterUpdate.Scope.ROUTER && !update.getSentToAll()) {
       reportedParts.addAll(partsOf(update));
     } else if (update.getScope() == RouterUpdate.Scope.DATA_CENTRE) {
       relayedParts.addAll(partsOf(update));
@@ -172,13 +173,15 @@
     peerStatuses.values().removeIf(peer -> now - peer.receivedNanos() > lifeNanos);
   }
 
-  /** Returns whether a router sends this one updates about itself. */
+  /** Returns whether a router sends this one updates about itself and relies on its updates. */
   boolean reports(String routerId) {
     PeerStatus peer = peerStatuses.get(routerId);
-    return peer != null && peer.scope() == RouterUpdate.Scope.ROUTER;
+    return peer != null
+        && peer.scope() == RouterUpdate.Scope.ROUTER
+        && topology.reliesOnThisRouter(routerId, peer.sendsToAll());
   }
 
-  /** Returns the routers that send this one updates about themselves. */
+  /** Returns the routers that send this one updates about themselves and rely on its updates. */
   List<RouterAdvertisement> reporters() {
     return registry.peers().stream().filter(peer -> reports(peer.id())).toList();
   }
@@ -237,6 +240,7 @@
         .addAllLateRouters(
             lagging ? Set.of(RendezvousHashing.hash(registry.self().id())) : Set.of())
         .setStoreCurrent(followed.readCurrent())
+        .setSentToAll(topology.fullMesh())
         .build();
   }
 
@@ -361,6 +365,7 @@
   /** The status in the latest update of a router. */
   private record PeerStatus(
       RouterUpdate.Scope scope,
+      boolean sendsToAll,
       Set<Long> routers,
       Set<Long> laggingRouters,
       boolean storeCurrent,
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreExchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StoreExchange.java
@@ -3,8 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.decision.Decision;
@@ -62,7 +64,7 @@
   private boolean readsStore = true;
   private boolean applyingPeerState;
   private Optional<HostPort> sender = Optional.empty();
-  private int pendingRequests;
+  private final Set<StateRequest> pendingRequests = new HashSet<>();
 
   StoreExchange(
       RelayTopology topology,
@@ -116,13 +118,10 @@
 
   /** Forwards changes in the store to the routers that leave reading it to this one. */
   private void forward(PrefixUpdate update) {
-    if (topology.fullMesh()) {
-      return;
-    }
     List<RouterAdvertisement> receivers = new ArrayList<>(updates.reporters());
     if (applyingPeerState) {
       sender.ifPresent(peer -> receivers.removeIf(router -> router.peerAddress().equals(peer)));
-    } else {
+    } else if (!topology.fullMesh()) {
       // A relay that sends an update to this one sends it to the others itself.
       topology
           .relay()
@@ -167,7 +166,7 @@
   void requestMissingState() {
     List<PrefixFollower> outdated =
         followers.stream().filter(follower -> !follower.current()).toList();
-    if (outdated.isEmpty() || pendingRequests > 0) {
+    if (outdated.isEmpty() || !pendingRequests.isEmpty()) {
       return;
     }
     peers
@@ -176,18 +175,21 @@
   }
 
   private void request(HostPort peer, PrefixFollower follower, Cause cause) {
+    StateRequest pending = new StateRequest(peer, follower.prefix());
+    if (!pendingRequests.add(pending)) {
+      return;
+    }
     messages.record(Kind.STATE_REQUEST, cause, 1);
     Envelope request =
         Envelope.newBuilder()
             .setPrefixRequest(PrefixRequest.newBuilder().setPrefix(follower.prefix()))
             .build();
-    pendingRequests++;
     var unused =
         transport
             .request(peer, request, REQUEST_TIMEOUT)
             .whenComplete(
                 (reply, failure) -> {
-                  pendingRequests--;
+                  pendingRequests.remove(pending);
                   if (failure != null) {
                     LOGGER.atFine().log(
                         "peer %s returned no entries of prefix %s: %s",
@@ -268,4 +270,7 @@
       request(peer, desiredState, Cause.BEHIND_PEER);
     }
   }
+
+  /** A request for the entries of a prefix that a peer has not answered yet. */
+  private record StateRequest(HostPort peer, String prefix) {}
 }
