Drop one-way messages to a peer that does not read

The queue of a connection was bounded only until a message was handed to the channel; the channel's own buffer grew without bound until the connection timed out.

Change: the bound applies to the channel's buffer as well. One-way messages above it are dropped and counted: the next update holds the latest state, and a router that lacks changes requests them.

Evidence: oneWayMessagesToAPeerThatDoesNotReadAreDropped failed before ("no message was dropped" in 10 s).

--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/NettyPeerTransport.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/NettyPeerTransport.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -245,10 +246,13 @@
 
   private Bootstrap createClientBootstrap(EventLoopGroup group) {
     int timeoutMillis = Math.toIntExact(context.options().connectTimeout().toMillis());
+    int bytesMax = context.options().sendQueueBytesMax();
+    WriteBufferWaterMark waterMark = new WriteBufferWaterMark(bytesMax / 2, bytesMax);
     return new Bootstrap()
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis);
   }
 
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/OneWayMessage.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/OneWayMessage.java
@@ -18,6 +18,11 @@
 
   @Override
   public void writeTo(ClientChannel channel) {
+    if (!channel.channel().isWritable()) {
+      // The peer does not read; later messages hold the latest state.
+      counters.messagesDropped.increment();
+      return;
+    }
     channel.write(message);
   }
 
--- a/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerTransportOptions.java
+++ b/coltsfootvale-protocol/src/main/java/org/coltsfootvale/protocol/PeerTransportOptions.java
@@ -7,8 +7,8 @@
  * The limits and timeouts of the inner protocol.
  *
  * @param frameBytesMax the maximum frame size after the handshake
- * @param sendQueueBytesMax the queued bytes of a connection above which one-way messages are
- *     dropped
+ * @param sendQueueBytesMax the bytes above which one-way messages are dropped, of those queued for
+ *     a connection and of those that it could not send yet
  * @param streamsMax the maximum number of open forwarded requests of one connection
  * @param connectTimeout the time to open and authenticate a connection
  * @param heartbeatInterval the time without a received message after which a heartbeat is sent
--- a/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/BlackholeProxy.java
+++ b/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/BlackholeProxy.java
@@ -7,13 +7,16 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
 import org.coltsfootvale.core.model.HostPort;
 
 /** A TCP proxy that can discard the data of its open connections without closing them. */
 final class BlackholeProxy implements AutoCloseable {
 
   private final HostPort target;
+  private final AtomicBoolean reading = new AtomicBoolean(true);
   private final ServerSocket listening;
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private volatile AtomicBoolean blackholed = new AtomicBoolean();
@@ -33,6 +36,11 @@
     blackholed = new AtomicBoolean();
   }
 
+  /** Stops reading from all connections, so that their senders' buffers fill up. */
+  void stopReading() {
+    reading.set(false);
+  }
+
   @Override
   public void close() throws IOException {
     listening.close();
@@ -57,11 +65,14 @@
     }
   }
 
-  private static void copy(Socket from, Socket to, AtomicBoolean discarding) {
+  private void copy(Socket from, Socket to, AtomicBoolean discarding) {
     byte[] buffer = new byte[8192];
     try {
       InputStream in = from.getInputStream();
       for (int length = in.read(buffer); length >= 0; length = in.read(buffer)) {
+        while (!reading.get()) {
+          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
+        }
         if (!discarding.get()) {
           to.getOutputStream().write(buffer, 0, length);
           to.getOutputStream().flush();
--- a/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/NettyPeerTransportTest.java
+++ b/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/NettyPeerTransportTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.coltsfootvale.core.error.ColtsfootvaleException;
 import org.coltsfootvale.core.error.ErrorKind;
 import org.coltsfootvale.core.error.Outcome;
@@ -37,6 +38,9 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+  /** Longer than a test, so that heartbeats do not close a connection. */
+  private static final Duration SILENCE_MAX = Duration.ofSeconds(20);
+
   private final PeerTransportFixture fixture = new PeerTransportFixture();
 
   @AfterMethod
@@ -259,4 +263,27 @@
         .setNotesRequest(NotesRequest.newBuilder().setAfterRevision(revision))
         .build();
   }
+
+  /** Guards against a buffer that grows without bound, as in a router whose peer is frozen. */
+  @Test
+  public void oneWayMessagesToAPeerThatDoesNotReadAreDropped() throws Exception {
+    RecordingPeerHandler receiver = new RecordingPeerHandler();
+    NettyPeerTransport target = fixture.start("two", receiver, SILENCE_MAX);
+    NettyPeerTransport sender = fixture.start("one", new RecordingPeerHandler(), SILENCE_MAX);
+    Envelope large =
+        Envelope.newBuilder()
+            .setPrefixRequest(PrefixRequest.newBuilder().setPrefix("p".repeat(99_000)))
+            .build();
+    try (BlackholeProxy proxy = new BlackholeProxy(target.boundAddress())) {
+      assertTrue(sender.send(proxy.address(), gossip(1)));
+      await(() -> !receiver.gossip.isEmpty());
+      proxy.stopReading();
+      long deadline = System.nanoTime() + SILENCE_MAX.dividedBy(2).toNanos();
+      while (System.nanoTime() < deadline && sender.counters().messagesDropped() == 0) {
+        sender.send(proxy.address(), large);
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+      }
+      assertTrue(sender.counters().messagesDropped() > 0, "no message was dropped");
+    }
+  }
 }
--- a/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/PeerTransportFixture.java
+++ b/coltsfootvale-protocol/src/test/java/org/coltsfootvale/protocol/PeerTransportFixture.java
@@ -26,17 +26,29 @@
   static final String SECRET = "a secret of the test fleet";
   private static final long EVENT_TIMEOUT_SECONDS = 20;
   private static final long POLL_MILLIS = 5;
+  private static final Duration PEER_TIMEOUT = Duration.ofMillis(400);
 
   private final List<NettyPeerTransport> started = new ArrayList<>();
 
   NettyPeerTransport start(String name, PeerHandler handler, String... secrets) {
+    List<String> accepted = secrets.length == 0 ? List.of(SECRET) : List.of(secrets);
+    return start(name, handler, accepted, options(PEER_TIMEOUT));
+  }
+
+  /** Starts a transport that closes connections after the given time without a message. */
+  NettyPeerTransport start(String name, PeerHandler handler, Duration peerTimeout) {
+    return start(name, handler, List.of(SECRET), options(peerTimeout));
+  }
+
+  private NettyPeerTransport start(
+      String name, PeerHandler handler, List<String> secrets, PeerTransportOptions options) {
     NettyPeerTransport transport =
         new NettyPeerTransport(
             new RouterIncarnation(new RouterId(name), 7),
             new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-            secrets.length == 0 ? List.of(SECRET) : List.of(secrets),
+            secrets,
             handler,
-            options(),
+            options,
             InstantSource.system());
     transport.start();
     started.add(transport);
@@ -49,13 +61,17 @@
   }
 
   static PeerTransportOptions options() {
+    return options(PEER_TIMEOUT);
+  }
+
+  private static PeerTransportOptions options(Duration peerTimeout) {
     return new PeerTransportOptions(
         1024 * 1024,
         1024 * 1024,
         2,
         Duration.ofSeconds(5),
         Duration.ofMillis(100),
-        Duration.ofMillis(400),
+        peerTimeout,
         Duration.ofSeconds(60),
         Duration.ofMillis(10),
         Duration.ofMillis(50));
