--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/EmbeddedAnswerDetector.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/EmbeddedAnswerDetector.java
@@ -99,32 +99,30 @@
 
   @Override
   public boolean process(byte value) {
-    boolean headBefore = withinHead;
-    if (!bodyEnded || !withinHead) {
-      matchStatusLine(value);
-    }
-    if (headBefore && withinHead && matchedBytes != STATUS_LINE_START_BYTES) {
+    // Behind the body, a head that the body ends in goes on, but no other one begins.
+    if (!(bodyEnded && withinHead) && completesStatusLineStart(value)) {
+      withinHead = true;
+      statusLine = value != '\n';
+      headers = 0;
+      line.setLength(0);
+    } else if (withinHead) {
       readHead(value);
     }
-    if (matchedBytes == STATUS_LINE_START_BYTES) {
-      matchedBytes = 0;
-    }
-    // Bytes that follow the body matter only as long as they go on with what it ends with.
-    return !found && !(bodyEnded && !withinHead && matchedBytes == 0);
+    boolean undecided = withinHead || matchedBytes > 0;
+    return !found && (undecided || !bodyEnded);
   }
 
-  private void matchStatusLine(byte value) {
+  private boolean completesStatusLineStart(byte value) {
     if (matches(value, matchedBytes)) {
       matchedBytes++;
     } else {
       matchedBytes = !bodyEnded && matches(value, 0) ? 1 : 0;
     }
-    if (matchedBytes == STATUS_LINE_START_BYTES) {
-      withinHead = true;
-      statusLine = value != '\n';
-      headers = 0;
-      line.setLength(0);
+    if (matchedBytes < STATUS_LINE_START_BYTES) {
+      return false;
     }
+    matchedBytes = 0;
+    return true;
   }
 
   private static boolean matches(byte value, int index) {
