Check the API key again before each send to a replica

A request whose key was withdrawn after it had been accepted still reached a replica: when it was repeated after a refused or lost attempt, and likewise when it waited in the queue or for a connection. Callers got 200 for a key that was no longer in the desired state in force.

Cause: the key was checked once, when the request had been read.

The attempt now checks directly before it sends, the one place that all sends pass, and only if another desired state is in force than the one that has admitted the request. A request that no replica has got is answered 401; one that may have run is answered 502, and an answer that has begun is broken off, as for other requests that cannot be continued. Responses in progress are delivered, and requests on anonymous routes are not affected.

The queue and the wait for a connection have no test of their own.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/routing/RoutingState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/routing/RoutingState.java
@@ -68,6 +68,11 @@
     return Optional.ofNullable(organisationsByKey.get(key));
   }
 
+  /** Returns whether a route accepts requests with an API key, or without one. */
+  public boolean admits(Route route, Optional<String> key) {
+    return !keysRequired || route.anonymous() || key.flatMap(this::organisationOf).isPresent();
+  }
+
   /** Returns a service by its name. */
   public Optional<RoutedService> service(String name) {
     return Optional.ofNullable(services.get(name));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -99,7 +99,7 @@
   }
 
   private void sendUnlessEnded(ReplicaConnection opened) {
-    if (ended) {
+    if (ended || exchange.endIfNoLongerAdmitted()) {
       return;
     }
     if (!dispatcher.uses(replica) || replica.paused()) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -30,6 +30,8 @@
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.routing.Organisation;
+import org.coltsfootvale.core.routing.Route;
+import org.coltsfootvale.core.routing.RoutingState;
 import org.coltsfootvale.router.http.ReplicaConnectionPool;
 import org.coltsfootvale.router.http.ServingLoop;
 import org.jspecify.annotations.Nullable;
@@ -60,6 +62,10 @@
   private final Optional<Organisation> organisation;
   private final ServiceDispatcher dispatcher;
   private final ExchangeLog log;
+
+  /** The desired state that has last admitted the request. */
+  private Optional<RoutingState> admittedBy;
+
   private @Nullable Attempt attempt;
 
   private @Nullable Future<?> timeoutTask;
@@ -86,6 +92,7 @@
     this.lifecycle = lifecycle;
     this.organisation = organisation;
     this.dispatcher = context.state().dispatcher(lifecycle.service());
+    this.admittedBy = context.state().routing();
     this.log = new ExchangeLog(context.log(), context.nanoTime(), this, lifecycle);
   }
 
@@ -187,6 +194,38 @@
     }
   }
 
+  /**
+   * Ends the exchange if the desired state in force no longer admits the request; returns whether
+   * it did. The key may be withdrawn while the request waits for a replica, for a connection or for
+   * its repetition.
+   */
+  boolean endIfNoLongerAdmitted() {
+    Optional<RoutingState> inForce = context.state().routing();
+    if (inForce.equals(admittedBy) || inForce.map(this::admits).orElse(false)) {
+      admittedBy = inForce;
+      return false;
+    }
+    if (lifecycle.answerBegun()) {
+      breakOff();
+    } else if (lifecycle.mayHaveRun()) {
+      fail(HttpResponseStatus.BAD_GATEWAY);
+    } else {
+      log.denied(HttpResponseStatus.UNAUTHORIZED, context.state());
+      end();
+      context.writer().fail(caller, HttpResponseStatus.UNAUTHORIZED);
+    }
+    return true;
+  }
+
+  private boolean admits(RoutingState routing) {
+    HttpRequest head = request.head();
+    Route route =
+        routing
+            .route(head.headers().get(HttpHeaderNames.HOST, ""), head.uri())
+            .orElse(lifecycle.route());
+    return routing.admits(route, description().key());
+  }
+
   /** Carries out the decision of the lifecycle after an attempt has ended. */
   void carryOut(NextStep step, HttpResponseStatus failure, String cause) {
     log.attemptFailed(attempt == null ? "" : attempt.replicaId(), cause, step);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ExchangeLog.java
@@ -145,6 +145,15 @@
     return PartNames.join(request.partKeys().stream().filter(quarantine::quarantined).toList());
   }
 
+  void denied(HttpResponseStatus status, ServingState state) {
+    log.record(
+        ended(DecisionEvent.REQUEST_DENIED)
+            .with("status", status.code())
+            .with("cause", "key withdrawn")
+            .with("desired_state", state.desiredStateVersion())
+            .with("desired_state_age_millis", state.desiredStateAge().toMillis()));
+  }
+
   void failed(HttpResponseStatus status) {
     log.record(ended(DecisionEvent.REQUEST_FAILED).with("status", status.code()));
   }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
@@ -121,13 +121,12 @@
       deny(caller, request, description, HttpResponseStatus.NOT_FOUND, "no route");
       return null;
     }
-    Optional<Organisation> organisation = description.key().flatMap(routing::organisationOf);
-    boolean keyNeeded = routing.keysRequired() && !route.get().anonymous();
-    if (keyNeeded && organisation.isEmpty()) {
+    if (!routing.admits(route.get(), description.key())) {
       String cause = description.key().isEmpty() ? "no key" : "unknown key";
       deny(caller, request, description, HttpResponseStatus.UNAUTHORIZED, cause);
       return null;
     }
+    Optional<Organisation> organisation = description.key().flatMap(routing::organisationOf);
     return start(caller, request, route.get(), description, organisation);
   }
 
