Continue a stream whose key was withdrawn

A change of the desired state cuts no answer off, so that a stream which has begun is resumed at another replica also after its key was withdrawn. A request that waits is still denied, and one that may have run is not repeated. ApiKeysTest, StreamContinuationTest and RelayedFleetTest pass (47 tests).

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -197,17 +197,18 @@
   /**
    * Ends the exchange if the desired state in force no longer admits the request; returns whether
    * it did. The key may be withdrawn while the request waits for a replica, for a connection or for
-   * its repetition.
+   * its repetition. A stream that has begun is continued, as a change of the desired state cuts no
+   * answer off.
    */
   boolean endIfNoLongerAdmitted() {
     Optional<RoutingState> inForce = context.state().routing();
-    if (inForce.equals(admittedBy) || inForce.map(this::admits).orElse(false)) {
+    if (inForce.equals(admittedBy)
+        || lifecycle.answerBegun()
+        || inForce.map(this::admits).orElse(false)) {
       admittedBy = inForce;
       return false;
     }
-    if (lifecycle.answerBegun()) {
-      breakOff();
-    } else if (lifecycle.mayHaveRun()) {
+    if (lifecycle.mayHaveRun()) {
       fail(HttpResponseStatus.BAD_GATEWAY);
     } else {
       log.denied(HttpResponseStatus.UNAUTHORIZED, context.state());
