Bound the connections and requests of all listeners

Idle callers beyond the descriptors of the host took 1,899 descriptors of 512 allowed, and 600 requests to the directory and to readiness that stopped one byte short of a 64 KiB body left an ordinary caller without an answer: the endpoints kept each body in memory without a time-out, and no listener had a limit of its connections.

- Endpoints accept bodies of 1 KiB at most (413 and a close beyond it).
They close a connection without a complete request for 5 s, or idle for 15 s.
- With limits.maxFds set, each listener has a limit of connections.
Beyond it the connection idle longest is closed; if none is idle, the new one.
The states of connections are read only when a listener is full, so that requests cost nothing.
A connection with a complete head is never closed.
- limits.memoryMb, limits.maxFds and COLTSFOOTVALE_CALLER_MEMORY_MB are read and checked.
The memory settings are not used yet.
- Events caller.*, one log line a second each, and the gauge coltsfootvale_caller_connections.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
@@ -71,7 +71,15 @@
   /** An answer was aborted before its end. */
   REQUEST_BROKEN_OFF("request.broken_off", Category.FAILURE),
   /** The caller closed its connection before the answer. */
-  REQUEST_ABANDONED("request.abandoned", Category.FAILURE);
+  REQUEST_ABANDONED("request.abandoned", Category.FAILURE),
+  /** A request that was not complete was refused, as callers take up too much memory. */
+  CALLER_REFUSED_FOR_MEMORY("caller.refused_for_memory", Category.FAILURE),
+  /** A connection whose caller does not read was closed, as callers take up too much memory. */
+  CALLER_CLOSED_FOR_MEMORY("caller.closed_for_memory", Category.FAILURE),
+  /** A caller sent its request too slowly; it was refused. */
+  CALLER_TOO_SLOW("caller.too_slow", Category.FAILURE),
+  /** A connection was closed, as its listener had too many. */
+  CALLER_CONNECTION_LIMIT("caller.connection_limit", Category.FAILURE);
 
   /** The category of an event; routine log lines are dropped first when the log's buffer fills. */
   public enum Category {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
@@ -27,13 +27,15 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.LongSupplier;
+import org.coltsfootvale.core.overload.ConnectionLimit;
 import org.jspecify.annotations.Nullable;
 
 /**
  * A caller's connection: reads one request after the other and writes their answers in order.
  * Pipelined requests wait until the previous one has been answered.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter
+    implements ConnectionLimit.Connection {
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -325,13 +327,27 @@
    * send it elsewhere.
    */
   void closeIfIdle() {
-    boolean idle = exchange == null && incoming == null && headExpected && !closing;
-    if (idle && unwrittenAnswers == 0 && nanoTime.getAsLong() - lastActivityNanos > LINGER_NANOS) {
+    if (idle() && nanoTime.getAsLong() - lastActivityNanos > LINGER_NANOS) {
       closing = true;
       context().close();
     }
   }
 
+  @Override
+  public boolean idle() {
+    return exchange == null
+        && incoming == null
+        && pipelined.isEmpty()
+        && headExpected
+        && !closing
+        && unwrittenAnswers == 0;
+  }
+
+  @Override
+  public long idleSinceNanos() {
+    return lastActivityNanos;
+  }
+
   /** Gives up the request in progress with its final answer. */
   void endRequest() {
     if (exchange != null) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryFormats.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryFormats.java
@@ -1,9 +1,9 @@
 package org.coltsfootvale.router.serving;
 
-import io.netty.channel.ChannelPipeline;
 import java.util.Optional;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.routing.RoutingState;
+import org.coltsfootvale.router.http.HttpEndpoint;
 
 /**
  * The keys under which a platform keeps the data of an entry router, and the formats of this data.
@@ -25,9 +25,9 @@
   /** Reads the entry of a replica; empty if it names none that can be used. */
   Optional<Replica> replica(String key, byte[] value);
 
-  /** Adds the handlers for callers' queries for the routers to use. */
-  void installDirectory(ChannelPipeline pipeline, EntryPoints entryPoints);
+  /** Returns the endpoint of callers' queries for the routers to use. */
+  HttpEndpoint directory(EntryPoints entryPoints);
 
-  /** Adds the handlers for the platform's readiness checks. */
-  void installReadiness(ChannelPipeline pipeline, EntryPoints entryPoints);
+  /** Returns the endpoint of the platform's readiness checks. */
+  HttpEndpoint readiness(EntryPoints entryPoints);
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -2,8 +2,6 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -27,7 +25,6 @@
 import org.coltsfootvale.core.store.HedgedReadStore;
 import org.coltsfootvale.core.store.RevisionedStore;
 import org.coltsfootvale.core.support.Service;
-import org.coltsfootvale.router.http.HttpListener;
 import org.coltsfootvale.router.http.ReplicaConnectionPool;
 import org.coltsfootvale.router.http.ServingLoop;
 import org.coltsfootvale.router.metrics.DecisionMetrics;
@@ -80,8 +77,7 @@
   private final FleetExchange fleetExchange;
   private final SuspensionDetector suspensionDetector;
   private final LoopLagDetector lagDetector;
-  private final List<HttpListener> auxiliaryListeners;
-  private final Optional<MonitoringListener> monitoring;
+  private final AuxiliaryListeners auxiliaryListeners;
   private final DecisionLog log;
   private final GracefulStop gracefulStop;
   private boolean advertised;
@@ -107,7 +103,9 @@
       DecisionLog log) {
     this.settings = settings;
     DecisionMetrics metrics = new DecisionMetrics();
-    this.log = metrics.andThen(ReplicaFeed.withRateLimit(log, nanoTime));
+    this.log =
+        metrics.andThen(
+            CallerListener.withRateLimits(ReplicaFeed.withRateLimit(log, nanoTime), nanoTime));
     MeteredStore meteredStore = new MeteredStore(store);
     this.loop = loop;
     // Constructed directly, as the factory of random sources takes a tenth of the start-up time.
@@ -134,8 +132,7 @@
     replicas = new ReplicaTable(EXPIRY_GRACE, nanoTime, store.era()::latest, new ReplicaListener());
     departures = new DepartureUpdates(replicas, nanoTime);
     links = new ReplicaConnectionPool(loop, nanoTime);
-    callers =
-        new CallerListener(loop, settings.callerAddress(), starter(protocol), state, nanoTime);
+    callers = callers(protocol);
     gracefulStop = new GracefulStop(loop, state, callers, settings.stopTimeout(), nanoTime);
     PrefixFollowerFactory factory =
         new PrefixFollowerFactory(
@@ -146,23 +143,34 @@
             new DesiredStateFeed(formats, state, this.log, this::onStoreRecovered),
             new ReplicaFeed(formats, replicas, this.log),
             registry);
-    advertisement =
-        new LeasedKeyRenewer(
-            meteredStore,
-            RouterRegistry.PREFIX + settings.id(),
-            settings.advertisement().encode(),
-            ADVERTISEMENT_LIFE,
-            loop,
-            random::nextDouble);
+    advertisement = advertisement(meteredStore, random);
     fleetExchange = fleetExchange(topology, random);
     caches = inspection(topology, inspector);
     suspensionDetector = new SuspensionDetector(nanoTime, System::currentTimeMillis);
     auxiliaryListeners =
         auxiliaryListeners(
-            new EntryPoints(
-                registry, fleetExchange::activePeerIds, fleetExchange::laggingIds, this::ready),
-            formats);
-    monitoring = monitoring(new MetricsPage(metrics, meteredStore, fleetExchange.messageMetrics()));
+            formats, new MetricsPage(metrics, meteredStore, fleetExchange.messageMetrics()));
+  }
+
+  private CallerListener callers(CallerProtocol protocol) {
+    return new CallerListener(
+        loop,
+        settings.callerAddress(),
+        starter(protocol),
+        state,
+        settings.descriptors(),
+        nanoTime,
+        log);
+  }
+
+  private LeasedKeyRenewer advertisement(RevisionedStore store, UniformRandomProvider random) {
+    return new LeasedKeyRenewer(
+        store,
+        RouterRegistry.PREFIX + settings.id(),
+        settings.advertisement().encode(),
+        ADVERTISEMENT_LIFE,
+        loop,
+        random::nextDouble);
   }
 
   private RequestStarter starter(CallerProtocol protocol) {
@@ -237,23 +245,6 @@
         lagDetector);
   }
 
-  private Optional<MonitoringListener> monitoring(MetricsPage page) {
-    StateReport report =
-        new StateReport(state, registry, peerRequestCounts, followed.all(), this::ready, nanoTime);
-    return settings
-        .metrics()
-        .map(
-            at ->
-                new MonitoringListener(
-                    loop,
-                    at.address(),
-                    at.path(),
-                    page,
-                    report,
-                    quarantine.quarantine(),
-                    settings.fleetSecret()));
-  }
-
   private static RepeatBudget repeatBudget(EntrySettings settings, RouterRegistry registry) {
     return new DefaultRepeatBudget(
         settings.repeatRatio(),
@@ -263,25 +254,33 @@
         System::nanoTime);
   }
 
-  private List<HttpListener> auxiliaryListeners(EntryPoints entryPoints, EntryFormats formats) {
-    return List.of(
-        new HttpListener(
-            loop,
-            settings.directoryAddress(),
-            pipeline -> formats.installDirectory(pipeline, entryPoints)),
-        new HttpListener(
-            loop,
-            settings.readinessAddress(),
-            pipeline -> formats.installReadiness(pipeline, entryPoints)));
+  private AuxiliaryListeners auxiliaryListeners(EntryFormats formats, MetricsPage page) {
+    return new AuxiliaryListeners(
+        settings,
+        loop,
+        formats,
+        new EntryPoints(
+            registry, fleetExchange::activePeerIds, fleetExchange::laggingIds, this::ready),
+        page,
+        new StateReport(
+            state,
+            registry,
+            peerRequestCounts,
+            followed.all(),
+            callers::connections,
+            this::ready,
+            nanoTime),
+        quarantine.quarantine(),
+        nanoTime,
+        log);
   }
 
   @Override
   public void start() {
     loop.start();
-    auxiliaryListeners.forEach(HttpListener::start);
+    auxiliaryListeners.start();
     callers.start();
     fleetExchange.start();
-    monitoring.ifPresent(MonitoringListener::start);
     log.record(
         Decision.of(DecisionEvent.PROCESS_STARTED)
             .with("callers_at", settings.callerAddress().toString())
@@ -342,6 +341,7 @@
 
   private void sweep() {
     callers.sweep();
+    auxiliaryListeners.sweep();
     links.evictIdle(state::uses);
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.support.Checks;
@@ -27,6 +28,10 @@
  * @param repeatWindow the sliding window of the two figures above
  * @param metrics where metrics are served, if anywhere
  * @param capacityCores the processor time that the host gives it, in cores
+ * @param memoryBytes the memory of the host, if it is known
+ * @param descriptors the file descriptors that the host allows, if there is a limit
+ * @param callerMemoryBytes the memory for requests and responses of callers, instead of the
+ *     computed value
  */
 public record EntrySettings(
     String id,
@@ -44,7 +49,10 @@
     double repeatAllowance,
     Duration repeatWindow,
     Optional<MetricsAddress> metrics,
-    double capacityCores) {
+    double capacityCores,
+    OptionalLong memoryBytes,
+    OptionalLong descriptors,
+    OptionalLong callerMemoryBytes) {
 
   /**
    * Copies the list and checks the secret.
@@ -77,7 +85,10 @@
         repeatAllowance,
         repeatWindow,
         metrics,
-        capacityCores);
+        capacityCores,
+        memoryBytes,
+        descriptors,
+        callerMemoryBytes);
   }
 
   /** Returns what the router tells others of itself. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/MonitoringListener.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/MonitoringListener.java
@@ -1,7 +1,6 @@
 package org.coltsfootvale.router.serving;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -19,11 +18,11 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import org.coltsfootvale.core.model.HostPort;
+import java.util.function.LongSupplier;
 import org.coltsfootvale.core.quarantine.PromptQuarantine;
 import org.coltsfootvale.core.support.Service;
-import org.coltsfootvale.router.http.HttpEndpointHandler;
-import org.coltsfootvale.router.http.HttpListener;
+import org.coltsfootvale.router.http.EndpointListener;
+import org.coltsfootvale.router.http.LimitedConnections;
 import org.coltsfootvale.router.http.ServingLoop;
 import org.coltsfootvale.router.metrics.GaugeSample;
 import org.coltsfootvale.router.metrics.MetricsPage;
@@ -47,23 +46,25 @@
   private final PromptQuarantine quarantine;
   private final String releaseSecret;
   private final DefaultEventExecutorGroup renderer = new DefaultEventExecutorGroup(1);
-  private final HttpListener listener;
+  private final EndpointListener listener;
 
   MonitoringListener(
       ServingLoop loop,
-      HostPort address,
-      String metricsPath,
+      MetricsAddress address,
       MetricsPage page,
       StateReport report,
       PromptQuarantine quarantine,
-      String releaseSecret) {
+      String releaseSecret,
+      LimitedConnections limited,
+      LongSupplier nanoTime) {
     this.loop = loop;
-    this.metricsPath = metricsPath;
+    this.metricsPath = address.path();
     this.page = page;
     this.report = report;
     this.quarantine = quarantine;
     this.releaseSecret = releaseSecret;
-    this.listener = new HttpListener(loop, address, this::setUp);
+    this.listener =
+        new EndpointListener(loop, address.address(), renderer, this::answer, limited, nanoTime);
   }
 
   @Override
@@ -77,8 +78,9 @@
     renderer.shutdownGracefully();
   }
 
-  private void setUp(ChannelPipeline pipeline) {
-    HttpEndpointHandler.install(pipeline, renderer, this::answer);
+  /** Closes connections on which callers have been idle or slow for too long. */
+  void sweep() {
+    listener.sweep();
   }
 
   private FullHttpResponse answer(FullHttpRequest request) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.dispatch.PeerRequestCounts;
 import org.coltsfootvale.core.dispatch.ReplicaState;
@@ -29,6 +30,7 @@
   private final RouterRegistry registry;
   private final PeerRequestCounts peerRequestCounts;
   private final List<PrefixFollower> followers;
+  private final IntSupplier callerConnections;
   private final BooleanSupplier ready;
   private final LongSupplier nanoTime;
 
@@ -37,12 +39,14 @@
       RouterRegistry registry,
       PeerRequestCounts peerRequestCounts,
       List<PrefixFollower> followers,
+      IntSupplier callerConnections,
       BooleanSupplier ready,
       LongSupplier nanoTime) {
     this.state = state;
     this.registry = registry;
     this.peerRequestCounts = peerRequestCounts;
     this.followers = List.copyOf(followers);
+    this.callerConnections = callerConnections;
     this.ready = ready;
     this.nanoTime = nanoTime;
   }
@@ -52,6 +56,7 @@
     List<GaugeSample> readings = new ArrayList<>();
     readings.add(GaugeSample.of("coltsfootvale.ready", ready.getAsBoolean() ? 1 : 0));
     readings.add(GaugeSample.of("coltsfootvale.requests.in.progress", state.active()));
+    readings.add(GaugeSample.of("coltsfootvale.caller.connections", callerConnections.getAsInt()));
     readings.add(GaugeSample.of("coltsfootvale.routers.known", registry.size()));
     readings.add(GaugeSample.of("coltsfootvale.peers.heard", peerRequestCounts.activePeerCount()));
     readings.add(
