Bound the memory that callers hold, and pace bodies in tiny chunks

The limits of the desired state bound one request; nothing bounded all connections together. Many callers that each sent a legal body, head or trailers short of its end, or did not read a large answer, ended in an OutOfMemoryError, and an ordinary request was reset or got no answer in 30 s. A read of tiny chunks also occupied the serving loop.

CallerMemoryBudget charges heads, bodies, trailers, pipelined requests, buffered and unsent responses of all connections, and chooses which incomplete request to refuse (503 with Retry-After, not run) or which unread connection to close. A response without room pauses its replica connection. A connection with more than 256 parts in one read waits for its turn. Bodies below 1 KiB/s and heads that take longer than headerTimeoutMs get a 408. After an OutOfMemoryError the large incomplete requests are refused and the loop goes on.

HttpServerCodec hides its decoder, whose partial heads and trailers have to be charged and freed, so a decoder and an encoder of this package take its place.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
@@ -71,7 +71,13 @@
   /** An answer was aborted before its end. */
   REQUEST_BROKEN_OFF("request.broken_off", Category.FAILURE),
   /** The caller closed its connection before the answer. */
-  REQUEST_ABANDONED("request.abandoned", Category.FAILURE);
+  REQUEST_ABANDONED("request.abandoned", Category.FAILURE),
+  /** A request that was not complete was refused, as the memory for callers is used up. */
+  CALLER_REFUSED_FOR_MEMORY("caller.refused_for_memory", Category.FAILURE),
+  /** A caller's connection was closed, as the memory for callers is used up. */
+  CALLER_CLOSED_FOR_MEMORY("caller.closed_for_memory", Category.FAILURE),
+  /** A request was refused, as it arrives too slowly. */
+  CALLER_TOO_SLOW("caller.too_slow", Category.FAILURE);
 
   /** The category of an event; routine log lines are dropped first when the log's buffer fills. */
   public enum Category {
--- /dev/null
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/overload/CallerMemoryBudgetTest.java
@@ -0,0 +1,240 @@
+package org.coltsfootvale.core.overload;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertTrue;
+
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootvale.core.overload.CallerCharge.Use;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against bounds that do not hold, and against ending the wrong connection. */
+public class CallerMemoryBudgetTest {
+
+  private static final long MEGABYTE = 1024 * 1024;
+  private static final long KILOBYTE = 1024;
+
+  private long nowNanos = -5;
+  private CallerMemoryBudget budget = budgetOf(8 * MEGABYTE);
+
+  @BeforeMethod
+  void createBudget() {
+    budget = budgetOf(8 * MEGABYTE);
+  }
+
+  private CallerMemoryBudget budgetOf(long capacity) {
+    return CallerMemoryBudget.create(
+        100 * MEGABYTE, OptionalLong.empty(), OptionalLong.of(capacity), 0, () -> nowNanos);
+  }
+
+  private CallerCharge open(CallerMemoryBudget of) {
+    return of.open(
+        new ChargedConnection() {
+          @Override
+          public void updateUnsent() {}
+
+          @Override
+          public void refuseRequest() {}
+
+          @Override
+          public void close() {}
+        });
+  }
+
+  /** Opens a connection whose request began and made progress at a time in milliseconds. */
+  private CallerCharge request(long atMillis, long bytes) {
+    nowNanos = TimeUnit.MILLISECONDS.toNanos(atMillis);
+    CallerCharge charge = open(budget);
+    charge.onProgress(nowNanos);
+    charge.set(Use.INCOMING, bytes);
+    return charge;
+  }
+
+  private void waitUntil(long millis) {
+    nowNanos = TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  private long capacity(long heap, OptionalLong host, OptionalLong override, long body) {
+    return CallerMemoryBudget.create(heap, host, override, body, () -> nowNanos).capacity();
+  }
+
+  @Test
+  public void theCapacityIsAShareOfTheHeap() {
+    assertEquals(
+        capacity(100 * MEGABYTE, OptionalLong.empty(), OptionalLong.empty(), MEGABYTE),
+        40 * MEGABYTE);
+  }
+
+  @Test
+  public void theCapacityIsAtMostAQuarterOfTheMemoryOfTheHost() {
+    assertEquals(
+        capacity(100 * MEGABYTE, OptionalLong.of(80 * MEGABYTE), OptionalLong.empty(), MEGABYTE),
+        20 * MEGABYTE);
+  }
+
+  @Test
+  public void fourBodiesFitUnlessTheyExceedHalfOfTheHeap() {
+    OptionalLong host = OptionalLong.of(40 * MEGABYTE);
+    assertEquals(capacity(100 * MEGABYTE, host, OptionalLong.empty(), 5 * MEGABYTE), 20 * MEGABYTE);
+    assertEquals(
+        capacity(100 * MEGABYTE, host, OptionalLong.empty(), 50 * MEGABYTE), 50 * MEGABYTE);
+  }
+
+  @Test
+  public void theOperatorsValueReplacesTheComputedOne() {
+    OptionalLong override = OptionalLong.of(3 * MEGABYTE);
+    CallerMemoryBudget replaced =
+        CallerMemoryBudget.create(
+            100 * MEGABYTE, OptionalLong.empty(), override, MEGABYTE, () -> nowNanos);
+    replaced.setBodyBytesMax(10 * MEGABYTE);
+    assertEquals(replaced.capacity(), 3 * MEGABYTE);
+  }
+
+  @Test
+  public void theMinimumFollowsTheMaximumSizeOfABody() {
+    CallerMemoryBudget computed =
+        CallerMemoryBudget.create(
+            100 * MEGABYTE, OptionalLong.empty(), OptionalLong.empty(), MEGABYTE, () -> nowNanos);
+    computed.setBodyBytesMax(11 * MEGABYTE);
+    assertEquals(computed.capacity(), 44 * MEGABYTE);
+    computed.setBodyBytesMax(MEGABYTE);
+    assertEquals(computed.capacity(), 40 * MEGABYTE);
+  }
+
+  /** Guards against a budget that fills up for good as charges are released once or twice. */
+  @Test
+  public void aClosedChargeHoldsNothingAndStaysAtZero() {
+    CallerCharge first = request(0, 100 * KILOBYTE);
+    CallerCharge second = request(0, 50 * KILOBYTE);
+    first.set(Use.RUNNING, 10);
+    assertEquals(budget.heldBytes(), 150 * KILOBYTE + 10);
+    first.close();
+    first.close();
+    first.set(Use.UNSENT_RESPONSE, 7);
+    assertEquals(budget.heldBytes(), 50 * KILOBYTE);
+    assertTrue(first.closed());
+    second.releaseIncomplete();
+    second.releaseIncomplete();
+    assertEquals(budget.heldBytes(), 0);
+    second.close();
+    assertTrue(budget.charges().isEmpty());
+  }
+
+  @Test
+  public void aCompleteRequestKeepsItsCharge() {
+    CallerCharge charge = request(0, 100 * KILOBYTE);
+    charge.onRequestComplete();
+    charge.releaseIncomplete();
+    assertEquals(charge.get(Use.RUNNING), 100 * KILOBYTE);
+    assertEquals(charge.incompleteBytes(), 0);
+    assertEquals(budget.heldBytes(), 100 * KILOBYTE);
+  }
+
+  @Test
+  public void aQuarterIsKeptFromLargeRequests() {
+    CallerCharge large = request(0, 64 * KILOBYTE);
+    open(budget).set(Use.RUNNING, 6 * MEGABYTE - 64 * KILOBYTE - 1);
+    assertTrue(budget.requestFits(large, 1));
+    assertFalse(budget.requestFits(large, 2));
+    assertTrue(budget.requestFits(open(budget), 64 * KILOBYTE));
+    open(budget).set(Use.RUNNING, 2 * MEGABYTE);
+    assertTrue(budget.requestFits(open(budget), 1));
+    assertFalse(budget.requestFits(open(budget), 2));
+  }
+
+  @Test
+  public void anEighthIsKeptFromLargeResponses() {
+    CallerCharge large = open(budget);
+    large.set(Use.BUFFERED_RESPONSE, 64 * KILOBYTE);
+    open(budget).set(Use.UNSENT_RESPONSE, 7 * MEGABYTE - 64 * KILOBYTE - 1);
+    assertTrue(budget.responseFits(large, 1));
+    assertFalse(budget.responseFits(large, 2));
+    assertTrue(budget.responseFits(open(budget), 64 * KILOBYTE));
+  }
+
+  @Test
+  public void theStalledRequestWithTheLargestProductOfBytesAndTimeIsChosen() {
+    CallerCharge small = request(0, 64 * KILOBYTE);
+    CallerCharge longStalled = request(0, 100 * KILOBYTE);
+    CallerCharge large = request(500, 300 * KILOBYTE);
+    CallerCharge recent = request(900, MEGABYTE);
+    waitUntil(1_000);
+    assertSame(budget.stalledRequest(recent, 0), large);
+    waitUntil(1_400);
+    assertSame(budget.stalledRequest(small, 0), recent);
+    recent.close();
+    large.close();
+    assertSame(budget.stalledRequest(small, 0), longStalled);
+    longStalled.close();
+    assertNull(budget.stalledRequest(small, 0));
+  }
+
+  @Test
+  public void aRequestThatMakesProgressIsNotStalled() {
+    CallerCharge charge = request(0, MEGABYTE);
+    waitUntil(400);
+    charge.onProgress(nowNanos);
+    waitUntil(899);
+    assertNull(budget.stalledRequest(charge, 0));
+    waitUntil(900);
+    assertSame(budget.stalledRequest(charge, 0), charge);
+  }
+
+  /** Guards against refusing callers that the router itself does not read from. */
+  @Test
+  public void aPauseByTheRouterIsNoLackOfProgress() {
+    CallerCharge charge = request(0, MEGABYTE);
+    waitUntil(100);
+    charge.onPaused(nowNanos);
+    waitUntil(2_000);
+    assertNull(budget.stalledRequest(charge, 0));
+    charge.onResumed(nowNanos);
+    waitUntil(2_399);
+    assertNull(budget.stalledRequest(charge, 0));
+    waitUntil(2_400);
+    assertSame(budget.stalledRequest(charge, 0), charge);
+  }
+
+  @Test
+  public void withoutAStalledRequestTheOneThatBeganLastIsChosen() {
+    CallerCharge first = request(0, MEGABYTE);
+    CallerCharge second = request(10, MEGABYTE);
+    CallerCharge third = request(20, KILOBYTE);
+    second.onProgress(TimeUnit.MILLISECONDS.toNanos(30));
+    assertSame(budget.latestRequest(first, 1), second);
+    assertSame(budget.latestRequest(third, 64 * KILOBYTE), third);
+    second.releaseIncomplete();
+    assertSame(budget.latestRequest(first, 1), first);
+    first.releaseIncomplete();
+    assertNull(budget.latestRequest(third, 1));
+  }
+
+  @Test
+  public void theCallerThatHasReadNothingForLongestIsClosed() {
+    CallerCharge reading = open(budget);
+    CallerCharge unread = open(budget);
+    CallerCharge idle = open(budget);
+    waitUntil(0);
+    reading.setUnsent(5 * KILOBYTE, 5 * KILOBYTE, nowNanos);
+    waitUntil(10);
+    unread.setUnsent(KILOBYTE, KILOBYTE, nowNanos);
+    idle.setUnsent(KILOBYTE, KILOBYTE, nowNanos);
+    idle.setUnsent(0, 0, nowNanos);
+    waitUntil(499);
+    assertNull(budget.unreadToClose());
+    reading.setUnsent(5 * KILOBYTE, 4 * KILOBYTE, nowNanos);
+    waitUntil(509);
+    assertNull(budget.unreadToClose());
+    waitUntil(510);
+    assertSame(budget.unreadToClose(), unread);
+    unread.close();
+    waitUntil(998);
+    assertNull(budget.unreadToClose());
+    waitUntil(999);
+    assertSame(budget.unreadToClose(), reading);
+  }
+}
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ServingLoop.java
@@ -111,7 +111,8 @@
     return () -> {
       try {
         task.run();
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | OutOfMemoryError e) {
+        // An error would end a periodic task.
         LOGGER.atSevere().withCause(e).log("a task of the serving loop threw an exception");
       }
     };
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerWriter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerWriter.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
 import org.coltsfootvale.core.dispatch.Refusal;
 
 /** Writes answers to callers: those of replicas, and the router's own. */
@@ -21,10 +22,15 @@
 
   /** Refuses a request that has not run, with a retry delay. */
   void refuse(CallerConnection caller, Refusal refusal) {
+    refuse(caller, refusal.retryAfter());
+  }
+
+  /** Refuses a request that has not run, with a retry delay. */
+  void refuse(CallerConnection caller, Duration retryAfter) {
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
     HttpUtil.setContentLength(response, 0);
-    protocol.retryAfter(response.headers(), refusal.retryAfter());
+    protocol.retryAfter(response.headers(), retryAfter);
     caller.writeComplete(response);
   }
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.coltsfootvale.core.course.AnswerOwner;
 import org.coltsfootvale.core.course.NextStep;
 import org.coltsfootvale.core.course.RequestLifecycle;
@@ -25,7 +24,8 @@
   private final ServiceDispatcher dispatcher;
   private final ReplicaState replica;
   private final Optional<HostPort> cacheSource;
-  private final AnswerBody answer = new AnswerBody();
+  private final AnswerRoom room;
+  private final AnswerBody answer;
   private final SilenceWatch silence;
   private final AttemptEvidence evidence;
   private @Nullable ReplicaConnection link;
@@ -56,6 +56,8 @@
     this.replica = replica;
     this.cacheSource = cacheSource;
     this.continuation = lifecycle.answerBegun();
+    this.room = caller.answerRoom();
+    this.answer = new AnswerBody(room);
     this.silence = new SilenceWatch(context.loop(), context.nanoTime());
     this.evidence = new AttemptEvidence(this, context, replica, exchange.partKeys());
   }
@@ -90,6 +92,7 @@
 
   private void send(ReplicaConnection opened) {
     link = opened;
+    room.setLink(opened);
     if (context.state().laggingOrBlocked()) {
       // The caller may have disconnected while its request or this connection waited for the loop.
       context.loop().afterNextRead(() -> sendUnlessEnded(opened));
@@ -120,7 +123,10 @@
   }
 
   private void onSilent() {
-    if (!ended) {
+    if (room.waiting()) {
+      silence.onReceived();
+      watchForSilence();
+    } else if (!ended) {
       replica.health().onFailure();
       lost("silent");
     }
@@ -187,6 +193,7 @@
       read.keepAlive().ifPresent(link::setIdleTimeout);
     }
     answer.begin(
+        response,
         lifecycle.route().streaming() && AnswerStatus.isSuccess(response),
         lifecycle.route().resumable() || AnswerStatus.isEventStream(response));
     return owner;
@@ -233,6 +240,9 @@
       part = answer.nextPart();
     }
     caller.flush();
+    if (!ended) {
+      answer.chargeRest();
+    }
   }
 
   private void deliverPart(ByteBuf part) {
@@ -247,7 +257,7 @@
       return;
     }
     boolean first = !lifecycle.answerBegun();
-    if (lifecycle.route().resumable() && alreadyDelivered(part)) {
+    if (lifecycle.route().resumable() && exchange.alreadyDelivered(part)) {
       return;
     }
     delivered = true;
@@ -256,26 +266,11 @@
     }
     lifecycle.onDelivered();
     caller.writeContent(part);
-    if (link != null && !caller.writable()) {
-      link.setAutoRead(false);
+    if (!caller.writable()) {
+      room.setCallerReads(false);
     }
   }
 
-  /** Returns whether the caller already has an event; otherwise counts it as delivered. */
-  private boolean alreadyDelivered(ByteBuf event) {
-    OptionalLong id = EventSplitter.idOf(event);
-    if (id.isEmpty()) {
-      return false;
-    }
-    boolean duplicate =
-        lifecycle.lastEventId().isPresent()
-            && id.getAsLong() <= lifecycle.lastEventId().getAsLong();
-    if (!duplicate) {
-      lifecycle.onEventDelivered(id.getAsLong());
-    }
-    return duplicate;
-  }
-
   @Override
   public void onEnd() {
     HttpResponse response = head;
@@ -337,6 +332,7 @@
 
   @Override
   public void onAnswerLost(boolean sent, Throwable cause) {
+    room.checkForOutOfMemory(cause);
     if (ended) {
       return;
     }
@@ -386,15 +382,13 @@
 
   /** Records that the deadline of the request has passed before its answer was complete. */
   void onTimeout() {
-    if (link != null) {
+    if (link != null && !room.waiting()) {
       replica.health().onFailure();
     }
   }
 
   /** Pauses or resumes reading from the replica. */
   void setReading(boolean on) {
-    if (link != null) {
-      link.setAutoRead(on);
-    }
+    room.setCallerReads(on);
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
@@ -2,17 +2,13 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -20,26 +16,21 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.function.LongSupplier;
+import org.coltsfootvale.core.overload.CallerCharge;
+import org.coltsfootvale.core.overload.ChargedConnection;
 import org.jspecify.annotations.Nullable;
 
 /**
  * A caller's connection: reads one request after the other and writes their answers in order.
  * Pipelined requests wait until the previous one has been answered.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements ChargedConnection {
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-  /** Maximum number of buffered messages of pipelined requests; reading stops at it. */
-  private static final int PIPELINED_MAX = 64;
-
   /**
    * How long the connection stays open after its last answer for the caller to close it. Closing a
    * socket with unread data would reset the connection, and the caller would lose the end of the
@@ -49,56 +40,94 @@
 
   private final RequestStarter starter;
   private final ServingState state;
+  private final CallerMemory memory;
+  private final Channel channel;
   private final LongSupplier nanoTime;
-  private final Deque<HttpObject> pipelined = new ArrayDeque<>();
-  private @Nullable ChannelHandlerContext context;
+  private final CallerCharge charge;
+  private final PacedReader reader;
+  private final CallerTimer timer;
+  private final CallerInput input;
+  private final CallerOutput output;
   private @Nullable IncomingRequest incoming;
   private @Nullable Exchange exchange;
   private boolean headExpected = true;
   private boolean closing;
-  private boolean outputEnded;
+
   private boolean keepAlive;
   private boolean staysOpen;
-  private int unwrittenAnswers;
-  private long unwrittenBytes;
-  private long lastActivityNanos;
 
-  CallerConnection(RequestStarter starter, ServingState state, LongSupplier nanoTime) {
+  CallerConnection(
+      RequestStarter starter,
+      ServingState state,
+      CallerMemory memory,
+      ReadPacing pacing,
+      LongSupplier nanoTime,
+      Channel channel,
+      CallerRequestDecoder decoder) {
     this.starter = starter;
     this.state = state;
+    this.memory = memory;
     this.nanoTime = nanoTime;
-    this.lastActivityNanos = nanoTime.getAsLong();
+    this.channel = channel;
+    this.charge = memory.open(this);
+    this.reader = new PacedReader(pacing, charge, nanoTime, this::onReadingResumed);
+    this.timer = new CallerTimer(nanoTime.getAsLong());
+    this.input = new CallerInput(memory, charge, nanoTime, decoder);
+    this.output = new CallerOutput(channel, charge, nanoTime, this::endOutputIfClosing);
   }
 
   @Override
-  public void handlerAdded(ChannelHandlerContext added) {
-    context = added;
+  public void channelActive(ChannelHandlerContext active) {
+    memory.admitConnection(charge);
   }
 
   @Override
   public void channelRead(ChannelHandlerContext reading, Object message) {
+    if (input.ended() || closing) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
     HttpObject object = (HttpObject) message;
-    if (closing) {
-      ReferenceCountUtil.release(object);
-    } else if (exchange != null || !pipelined.isEmpty()) {
-      pipelined.addLast(object);
-      if (pipelined.size() >= PIPELINED_MAX) {
-        reading.channel().config().setAutoRead(false);
-      }
+    long headBytes = input.headBytes(object);
+    if (reader.pausesAt()) {
+      updateReading();
+    }
+    if (exchange != null || input.hasQueued()) {
+      input.queue(object, headBytes);
+      updateReading();
     } else {
-      process(object);
+      process(object, headBytes);
     }
   }
 
-  private void process(HttpObject object) {
+  @Override
+  public void channelReadComplete(ChannelHandlerContext reading) {
+    reader.onReadComplete();
+  }
+
+  /** Reads again; the time of the pause does not count as inactivity of the caller. */
+  private void onReadingResumed(long pausedNanos) {
+    timer.onPaused(pausedNanos);
+    if (incoming != null) {
+      incoming.onPaused(pausedNanos);
+    }
+    updateReading();
+  }
+
+  private void updateReading() {
+    boolean room = closing || !input.full();
+    channel.config().setAutoRead(room && !reader.paused());
+  }
+
+  private void process(HttpObject object, long headBytes) {
     try {
-      lastActivityNanos = nanoTime.getAsLong();
+      timer.onInput(nanoTime.getAsLong());
       if (object.decoderResult().isFailure()) {
-        rejectMalformed(object.decoderResult().cause());
+        rejectAndClose(RequestFraming.statusOf(object.decoderResult().cause()));
         return;
       }
       if (object instanceof HttpRequest head) {
-        begin(head);
+        begin(head, headBytes);
       }
       if (object instanceof HttpContent content && incoming != null) {
         append(incoming, content);
@@ -108,100 +137,105 @@
     }
   }
 
-  private void begin(HttpRequest head) {
+  private void begin(HttpRequest head, long headBytes) {
     headExpected = false;
-    keepAlive = HttpUtil.isKeepAlive(head);
-    if (ambiguousFraming(head)) {
+    timer.onHead();
+    keepAlive = HttpUtil.isKeepAlive(head) && !input.ambiguousFraming();
+    if (RequestFraming.ambiguous(head)) {
       rejectAndClose(HttpResponseStatus.BAD_REQUEST);
       return;
     }
-    incoming = new IncomingRequest(head, starter.bodyBytesMax(), nanoTime.getAsLong());
-    if (HttpUtil.is100ContinueExpected(head)) {
-      context()
-          .writeAndFlush(
-              new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    incoming = new IncomingRequest(head, headBytes, starter.bodyBytesMax(), timer.lastInputNanos());
+    charge.onProgress(timer.lastInputNanos());
+    if (memory.admitRequest(charge, CallerCharge.Use.INCOMING, headBytes)
+        && HttpUtil.is100ContinueExpected(head)) {
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
   }
 
-  /** Returns whether another HTTP implementation might delimit the request differently. */
-  private static boolean ambiguousFraming(HttpRequest head) {
-    boolean chunked = head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-    int lengths = head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size();
-    return (chunked && lengths > 0)
-        || lengths > 1
-        || (chunked && !HttpUtil.isTransferEncodingChunked(head))
-        || head.headers().getAll(HttpHeaderNames.HOST).size() != 1;
-  }
-
   private void append(IncomingRequest body, HttpContent content) {
-    if (!body.append(content.content())) {
+    ByteBuf bytes = content.content();
+    if (!body.accepts(bytes)) {
       rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return;
     }
+    int capacity = body.capacityWith(bytes);
+    charge.onProgress(timer.lastInputNanos());
+    if (!memory.admitRequest(charge, CallerCharge.Use.INCOMING, body.heldBytes(capacity))) {
+      return;
+    }
+    body.append(bytes, capacity);
     if (content instanceof LastHttpContent) {
       incoming = null;
+      charge.onRequestComplete();
       exchange = starter.start(this, body);
     }
   }
 
-  private void rejectMalformed(Throwable cause) {
-    boolean tooLong =
-        cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-    rejectAndClose(
-        tooLong
-            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            : HttpResponseStatus.BAD_REQUEST);
-  }
-
   /** Answers a request that has not been read completely, and closes the connection. */
   private void rejectAndClose(HttpResponseStatus status) {
-    if (incoming != null) {
-      incoming.release();
-      incoming = null;
-    }
     closing = true;
+    endInput();
     FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
     HttpUtil.setContentLength(response, 0);
     HttpUtil.setKeepAlive(response, false);
-    writeLast(response);
+    output.writeLast(response);
   }
 
-  /** Writes the end of an answer, and keeps the connection from being idle until it is sent. */
-  private void writeLast(Object last) {
-    lastActivityNanos = nanoTime.getAsLong();
-    unwrittenAnswers++;
-    var unused = context().writeAndFlush(last).addListener(written -> onAnswerSent());
+  /** Frees what is held of incomplete requests, and discards what follows. */
+  private void endInput() {
+    if (incoming != null) {
+      incoming.release();
+      incoming = null;
+    }
+    input.end(channel.pipeline());
   }
 
-  private void onAnswerSent() {
-    lastActivityNanos = nanoTime.getAsLong();
-    unwrittenAnswers--;
-    endOutputIfSent();
+  @Override
+  public void refuseRequest() {
+    if (input.ended()) {
+      return;
+    }
+    keepAlive = false;
+    staysOpen = false;
+    endInput();
+    if (exchange == null) {
+      starter.refuseIncomplete(this, memory.retryDelay());
+    }
+  }
+
+  @Override
+  public void close() {
+    closing = true;
+    channel.close();
+  }
+
+  /** Returns the memory for the answer of an attempt. */
+  AnswerRoom answerRoom() {
+    return new AnswerRoom(memory, charge);
   }
 
-  /** Tells the caller that no answer follows once all are sent. */
-  private void endOutputIfSent() {
-    if (closing && !outputEnded && unwrittenAnswers == 0 && context().channel().isActive()) {
-      outputEnded = true;
-      context().channel().config().setAutoRead(true);
-      ((SocketChannel) context().channel()).shutdownOutput();
+  private void endOutputIfClosing() {
+    if (closing) {
+      output.endIfSent();
     }
   }
 
   /** Writes the head of an answer whose body follows in parts. */
   void writeHead(HttpResponse head) {
     announce(head);
-    context().write(head);
+    output.write(head);
   }
 
   /** Writes a part of a body, to be sent with the next flush. */
   void writeContent(ByteBuf content) {
-    context().write(new DefaultHttpContent(content));
+    output.write(new DefaultHttpContent(content));
   }
 
   /** Sends what was written. */
   void flush() {
-    context().flush();
+    output.flush();
   }
 
   /** Ends an answer that was written in parts. */
@@ -226,37 +260,46 @@
    */
   void abort() {
     exchange = null;
-    closing = true;
-    context().close();
+    close();
   }
 
   /** Returns whether the caller reads as fast as answers are written. */
   boolean writable() {
-    return context().channel().isWritable();
+    return channel.isWritable();
   }
 
   private void finish(Object last) {
     exchange = null;
     headExpected = true;
     closing |= !staysOpen;
-    writeLast(last);
+    charge.set(CallerCharge.Use.RUNNING, 0);
+    if (closing) {
+      endInput();
+    }
+    output.writeLast(last);
     if (closing) {
       return;
     }
-    context().channel().config().setAutoRead(true);
-    if (!pipelined.isEmpty()) {
-      context().executor().execute(this::processPipelined);
+    updateReading();
+    if (input.hasQueued()) {
+      channel.eventLoop().execute(this::processPipelined);
     }
   }
 
   private void processPipelined() {
-    while (exchange == null && !pipelined.isEmpty() && !closing) {
-      process(pipelined.pollFirst());
+    while (exchange == null && !closing) {
+      PipelinedRequests.Queued next = input.poll();
+      if (next == null) {
+        break;
+      }
+      process(next.object(), next.headBytes());
     }
+    updateReading();
   }
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext changed) {
+    output.updateUnsent();
     if (exchange != null) {
       exchange.onCallerWritable(changed.channel().isWritable());
     }
@@ -265,12 +308,8 @@
   @Override
   public void channelInactive(ChannelHandlerContext inactive) {
     closing = true;
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
-    if (incoming != null) {
-      incoming.release();
-      incoming = null;
-    }
+    endInput();
+    charge.close();
     Exchange running = exchange;
     exchange = null;
     if (running != null) {
@@ -280,10 +319,11 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+    memory.checkForOutOfMemory(cause);
     if (!(cause instanceof IOException)) {
       LOGGER.atWarning().withCause(cause).log("a caller's connection failed; closing it");
     }
-    failed.close();
+    close();
   }
 
   /**
@@ -291,32 +331,45 @@
    * answer without progress, for too long.
    */
   void checkTimeouts(long idleMaxNanos, long headMaxNanos) {
-    if (exchange != null) {
+    output.updateUnsent();
+    if (exchange != null || reader.paused()) {
       return;
     }
-    recordProgress();
-    long quietNanos = nanoTime.getAsLong() - lastActivityNanos;
+    long now = nanoTime.getAsLong();
     boolean answered = closing || headExpected;
-    if (quietNanos <= (outputEnded ? LINGER_NANOS : answered ? idleMaxNanos : headMaxNanos)) {
+    if (!closing && arrivesTooSlowly(now, headMaxNanos)) {
+      rejectSlowRequest();
+    } else if (now - lastActivityNanos()
+        <= (output.ended() ? LINGER_NANOS : answered ? idleMaxNanos : headMaxNanos)) {
       return;
-    }
-    if (answered) {
-      closing = true;
-      context().close();
+    } else if (answered) {
+      close();
     } else {
-      rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+      rejectSlowRequest();
     }
   }
 
-  /** Counts it as activity if the caller has read a part of the answers since the last call. */
-  private void recordProgress() {
-    ChannelOutboundBuffer buffer = context().channel().unsafe().outboundBuffer();
-    long remaining =
-        buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
-    if (remaining != unwrittenBytes) {
-      unwrittenBytes = remaining;
-      lastActivityNanos = nanoTime.getAsLong();
-    }
+  private boolean arrivesTooSlowly(long now, long headMaxNanos) {
+    boolean headIncomplete = headExpected && input.holdsIncomplete();
+    return incoming == null
+        ? timer.headTooSlow(headIncomplete, now, headMaxNanos)
+        : incoming.tooSlow(now, headMaxNanos);
+  }
+
+  private void rejectSlowRequest() {
+    memory.recordTooSlow();
+    rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+  }
+
+  @Override
+  public void updateUnsent() {
+    output.updateUnsent();
+  }
+
+  private long lastActivityNanos() {
+    long inputNanos = timer.lastInputNanos();
+    long outputNanos = output.lastActivityNanos();
+    return outputNanos - inputNanos > 0 ? outputNanos : inputNanos;
   }
 
   /**
@@ -326,9 +379,8 @@
    */
   void closeIfIdle() {
     boolean idle = exchange == null && incoming == null && headExpected && !closing;
-    if (idle && unwrittenAnswers == 0 && nanoTime.getAsLong() - lastActivityNanos > LINGER_NANOS) {
-      closing = true;
-      context().close();
+    if (idle && output.sent() && nanoTime.getAsLong() - lastActivityNanos() > LINGER_NANOS) {
+      close();
     }
   }
 
@@ -340,17 +392,4 @@
       rejectAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
   }
-
-  private ChannelHandlerContext context() {
-    ChannelHandlerContext added = context;
-    if (added == null) {
-      throw new IllegalStateException("the handler has not been added to a pipeline");
-    }
-    return added;
-  }
-
-  /** Copies a buffer into one of its own size. */
-  static ByteBuf copy(ByteBuf content) {
-    return Unpooled.wrappedBuffer(ByteBufUtil.getBytes(content));
-  }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerListener.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerListener.java
@@ -3,8 +3,10 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.model.HostPort;
@@ -23,6 +25,8 @@
   private final HttpListener listener;
   private final RequestStarter starter;
   private final ServingState state;
+  private final CallerMemory memory;
+  private final ReadPacing pacing;
   private final LongSupplier nanoTime;
   private final ChannelGroup connections;
 
@@ -33,16 +37,20 @@
    * @param address where callers connect
    * @param starter starts their requests
    * @param state the view of this router
+   * @param memory bounds the memory that callers occupy
    * @param nanoTime the monotonic clock in nanoseconds
    */
-  public CallerListener(
+  CallerListener(
       ServingLoop loop,
       HostPort address,
       RequestStarter starter,
       ServingState state,
+      CallerMemory memory,
       LongSupplier nanoTime) {
     this.starter = starter;
     this.state = state;
+    this.memory = memory;
+    this.pacing = new ReadPacing(loop);
     this.nanoTime = nanoTime;
     this.listener = new HttpListener(loop, address, this::setUp);
     this.connections = new DefaultChannelGroup(loop.eventLoop());
@@ -50,8 +58,13 @@
 
   private void setUp(ChannelPipeline pipeline) {
     int headerBytes = limits().headerBytesMax();
-    pipeline.addLast(new HttpServerCodec(headerBytes, headerBytes, CHUNK_BYTES_MAX));
-    pipeline.addLast(new CallerConnection(starter, state, nanoTime));
+    Queue<HttpMethod> methods = new ArrayDeque<>();
+    CallerRequestDecoder decoder = new CallerRequestDecoder(headerBytes, CHUNK_BYTES_MAX, methods);
+    pipeline.addLast(decoder);
+    pipeline.addLast(new CallerResponseEncoder(methods));
+    pipeline.addLast(
+        new CallerConnection(
+            starter, state, memory, pacing, nanoTime, pipeline.channel(), decoder));
     connections.add(pipeline.channel());
   }
 
@@ -73,6 +86,7 @@
   /** Closes connections on which callers have been idle or slow for too long. */
   public void sweep() {
     CallerLimits limits = limits();
+    memory.budget().setBodyBytesMax(limits.bodyBytesMax());
     long idleMaxNanos = limits.idleTimeout().toNanos();
     long headMaxNanos = limits.headerTimeout().toNanos();
     forEach(connection -> connection.checkTimeouts(idleMaxNanos, headMaxNanos));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -4,12 +4,11 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
-import org.coltsfootvale.core.course.DefaultRepeatBudget;
-import org.coltsfootvale.core.course.RepeatBudget;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
@@ -17,6 +16,7 @@
 import org.coltsfootvale.core.dispatch.DispatchOptions;
 import org.coltsfootvale.core.dispatch.PeerRequestCounts;
 import org.coltsfootvale.core.dispatch.PromptCacheLocations;
+import org.coltsfootvale.core.overload.CallerMemoryBudget;
 import org.coltsfootvale.core.registry.LeasedKeyRenewer;
 import org.coltsfootvale.core.registry.LoopLagDetector;
 import org.coltsfootvale.core.registry.RelayTopology;
@@ -107,7 +107,7 @@
       DecisionLog log) {
     this.settings = settings;
     DecisionMetrics metrics = new DecisionMetrics();
-    this.log = metrics.andThen(ReplicaFeed.withRateLimit(log, nanoTime));
+    this.log = metrics.andThen(LogRateLimits.apply(log, nanoTime));
     MeteredStore meteredStore = new MeteredStore(store);
     this.loop = loop;
     // Constructed directly, as the factory of random sources takes a tenth of the start-up time.
@@ -134,8 +134,7 @@
     replicas = new ReplicaTable(EXPIRY_GRACE, nanoTime, store.era()::latest, new ReplicaListener());
     departures = new DepartureUpdates(replicas, nanoTime);
     links = new ReplicaConnectionPool(loop, nanoTime);
-    callers =
-        new CallerListener(loop, settings.callerAddress(), starter(protocol), state, nanoTime);
+    callers = callerListener(starter(protocol), random);
     gracefulStop = new GracefulStop(loop, state, callers, settings.stopTimeout(), nanoTime);
     PrefixFollowerFactory factory =
         new PrefixFollowerFactory(
@@ -165,11 +164,23 @@
     monitoring = monitoring(new MetricsPage(metrics, meteredStore, fleetExchange.messageMetrics()));
   }
 
+  private CallerListener callerListener(RequestStarter starter, UniformRandomProvider random) {
+    CallerMemoryBudget budget =
+        CallerMemoryBudget.create(
+            Runtime.getRuntime().maxMemory(),
+            OptionalLong.empty(),
+            OptionalLong.empty(),
+            RequestStarter.INITIAL_BODY_BYTES_MAX,
+            nanoTime);
+    CallerMemory memory = new CallerMemory(budget, loop, random::nextDouble, log);
+    return new CallerListener(loop, settings.callerAddress(), starter, state, memory, nanoTime);
+  }
+
   private RequestStarter starter(CallerProtocol protocol) {
     return new RequestStarter(
         state,
         protocol,
-        repeatBudget(settings, registry),
+        RequestStarter.repeatBudget(settings, registry),
         links,
         loop,
         replicas,
@@ -254,15 +265,6 @@
                     settings.fleetSecret()));
   }
 
-  private static RepeatBudget repeatBudget(EntrySettings settings, RouterRegistry registry) {
-    return new DefaultRepeatBudget(
-        settings.repeatRatio(),
-        settings.repeatAllowance(),
-        settings.repeatWindow(),
-        () -> 1.0 / registry.size(),
-        System::nanoTime);
-  }
-
   private List<HttpListener> auxiliaryListeners(EntryPoints entryPoints, EntryFormats formats) {
     return List.of(
         new HttpListener(
@@ -302,15 +304,7 @@
    * so that changes take effect at the next start only.
    */
   public void reload(EntrySettings latest) {
-    boolean changed = !latest.equals(settings);
-    Decision decision = Decision.of(DecisionEvent.SETTINGS_RELOADED).with("changed", changed);
-    if (changed) {
-      decision
-          .with("remedy", "restart the router to apply them")
-          .with("settings", latest.redacted().toString())
-          .with("in_force", settings.redacted().toString());
-    }
-    log.record(decision);
+    log.record(SettingsChange.report(latest, settings));
   }
 
   private void sendUpdates() {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EventSplitter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EventSplitter.java
@@ -77,6 +77,11 @@
     return pending.readableBytes();
   }
 
+  /** Returns the size of the buffer. */
+  int capacity() {
+    return pending.capacity();
+  }
+
   /** Discards the buffered bytes. */
   void clear() {
     pending.clear();
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.course.NextStep;
@@ -283,6 +284,21 @@
         HttpVersion.HTTP_1_1, head.method(), head.uri(), body, headers, EmptyHttpHeaders.INSTANCE);
   }
 
+  /** Returns whether the caller already has an event; otherwise counts it as delivered. */
+  boolean alreadyDelivered(ByteBuf event) {
+    OptionalLong id = EventSplitter.idOf(event);
+    if (id.isEmpty()) {
+      return false;
+    }
+    boolean duplicate =
+        lifecycle.lastEventId().isPresent()
+            && id.getAsLong() <= lifecycle.lastEventId().getAsLong();
+    if (!duplicate) {
+      lifecycle.onEventDelivered(id.getAsLong());
+    }
+    return duplicate;
+  }
+
   private static boolean bodiless(HttpMethod method) {
     return method.equals(HttpMethod.GET)
         || method.equals(HttpMethod.HEAD)
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/RequestStarter.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.coltsfootvale.core.course.DefaultRepeatBudget;
 import org.coltsfootvale.core.course.RepeatBudget;
 import org.coltsfootvale.core.course.RequestDescription;
 import org.coltsfootvale.core.course.RequestLifecycle;
@@ -13,6 +14,7 @@
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.dispatch.Refusal;
+import org.coltsfootvale.core.registry.RouterRegistry;
 import org.coltsfootvale.core.replica.ReplicaTable;
 import org.coltsfootvale.core.routing.Organisation;
 import org.coltsfootvale.core.routing.Route;
@@ -27,7 +29,7 @@
 public final class RequestStarter {
 
   /** Maximum size of a body before the desired state is known. */
-  private static final int INITIAL_BODY_BYTES_MAX = 1024 * 1024;
+  static final int INITIAL_BODY_BYTES_MAX = 1024 * 1024;
 
   private final ServingState state;
   private final CallerProtocol protocol;
@@ -77,6 +79,16 @@
     this.log = log;
   }
 
+  /** Returns the retry budget of a router, which shares the load with the registered ones. */
+  static RepeatBudget repeatBudget(EntrySettings settings, RouterRegistry registry) {
+    return new DefaultRepeatBudget(
+        settings.repeatRatio(),
+        settings.repeatAllowance(),
+        settings.repeatWindow(),
+        () -> 1.0 / registry.size(),
+        System::nanoTime);
+  }
+
   /** Returns the maximum size of a body. */
   int bodyBytesMax() {
     return state
@@ -85,6 +97,11 @@
         .orElse(INITIAL_BODY_BYTES_MAX);
   }
 
+  /** Refuses a request that has not been read completely. */
+  void refuseIncomplete(CallerConnection caller, Duration retryAfter) {
+    writer.refuse(caller, retryAfter);
+  }
+
   /** Starts a request; returns its exchange, or null if it has been answered already. */
   @Nullable Exchange start(CallerConnection caller, IncomingRequest request) {
     Optional<RoutingState> routing = state.routing();
