Merge the memory budget of callers

The budget takes the memory of the host and the operator's override from the settings; the metrics page shows the bytes held, the capacity and the open connections. The callers' listener closes excess connections after their handlers are in place, so that their charges are released.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerListener.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerListener.java
@@ -4,15 +4,14 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
-import java.util.List;
+import java.util.ArrayDeque;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
-import org.coltsfootvale.core.decision.RateLimitedDecisionLog;
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.overload.ConnectionLimit;
 import org.coltsfootvale.core.routing.CallerLimits;
@@ -28,19 +27,11 @@
   private static final CallerLimits INITIAL_LIMITS =
       new CallerLimits(16_384, 1024 * 1024, Duration.ofSeconds(3), Duration.ofSeconds(15));
 
-  /** Callers outside the control of the operators cause these events. */
-  private static final List<DecisionEvent> RATE_LIMITED =
-      List.of(
-          DecisionEvent.CALLER_REFUSED_FOR_MEMORY,
-          DecisionEvent.CALLER_CLOSED_FOR_MEMORY,
-          DecisionEvent.CALLER_TOO_SLOW,
-          DecisionEvent.CALLER_CONNECTION_LIMIT);
-
-  private static final Duration LOG_INTERVAL = Duration.ofSeconds(1);
-
   private final HttpListener listener;
   private final RequestStarter starter;
   private final ServingState state;
+  private final CallerMemory memory;
+  private final ReadPacing pacing;
   private final LongSupplier nanoTime;
   private final ChannelGroup connections;
   private final LimitedConnections limited;
@@ -52,20 +43,24 @@
    * @param address where callers connect
    * @param starter starts their requests
    * @param state the view of this router
+   * @param memory bounds the memory that callers occupy
    * @param descriptors the descriptors that the host allows; no limit of connections if empty
    * @param nanoTime the monotonic clock in nanoseconds
    * @param log records the connections that are closed
    */
-  public CallerListener(
+  CallerListener(
       ServingLoop loop,
       HostPort address,
       RequestStarter starter,
       ServingState state,
+      CallerMemory memory,
       OptionalLong descriptors,
       LongSupplier nanoTime,
       DecisionLog log) {
     this.starter = starter;
     this.state = state;
+    this.memory = memory;
+    this.pacing = new ReadPacing(loop);
     this.nanoTime = nanoTime;
     this.listener = new HttpListener(loop, address, this::setUp);
     this.connections = new DefaultChannelGroup(loop.eventLoop());
@@ -73,25 +68,20 @@
         new LimitedConnections("callers", ConnectionLimit.ofCallers(descriptors), nanoTime, log);
   }
 
-  /** Returns a log that limits the rate of each event that callers cause. */
-  static DecisionLog withRateLimits(DecisionLog log, LongSupplier nanoTime) {
-    DecisionLog withLimits = log;
-    for (DecisionEvent event : RATE_LIMITED) {
-      withLimits = new RateLimitedDecisionLog(withLimits, event, LOG_INTERVAL, nanoTime);
-    }
-    return withLimits;
-  }
-
   private void setUp(ChannelPipeline pipeline) {
     Channel channel = pipeline.channel();
-    CallerConnection connection = new CallerConnection(starter, state, nanoTime);
-    if (!limited.add(channel, connection)) {
-      return;
-    }
     int headerBytes = limits().headerBytesMax();
-    pipeline.addLast(new HttpServerCodec(headerBytes, headerBytes, CHUNK_BYTES_MAX));
+    Queue<HttpMethod> methods = new ArrayDeque<>();
+    CallerRequestDecoder decoder = new CallerRequestDecoder(headerBytes, CHUNK_BYTES_MAX, methods);
+    CallerConnection connection =
+        new CallerConnection(starter, state, memory, pacing, nanoTime, channel, decoder);
+    pipeline.addLast(decoder);
+    pipeline.addLast(new CallerResponseEncoder(methods));
     pipeline.addLast(connection);
-    connections.add(channel);
+    // A connection that is closed here releases its charge as its handlers are in place.
+    if (limited.add(channel, connection)) {
+      connections.add(channel);
+    }
   }
 
   private CallerLimits limits() {
@@ -112,6 +102,7 @@
   /** Closes connections on which callers have been idle or slow for too long. */
   public void sweep() {
     CallerLimits limits = limits();
+    memory.budget().setBodyBytesMax(limits.bodyBytesMax());
     long idleMaxNanos = limits.idleTimeout().toNanos();
     long headMaxNanos = limits.headerTimeout().toNanos();
     forEach(connection -> connection.checkTimeouts(idleMaxNanos, headMaxNanos));
@@ -122,6 +113,16 @@
     return connections.size();
   }
 
+  /** Returns the bytes that are held for callers. */
+  long heldBytes() {
+    return memory.budget().heldBytes();
+  }
+
+  /** Returns the bytes that may be held for callers. */
+  long capacityBytes() {
+    return memory.budget().capacity();
+  }
+
   /** Gives up the requests in progress, each with its final answer. */
   void endRequests() {
     forEach(CallerConnection::endRequest);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -6,8 +6,6 @@
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
-import org.coltsfootvale.core.course.DefaultRepeatBudget;
-import org.coltsfootvale.core.course.RepeatBudget;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
@@ -15,6 +13,7 @@
 import org.coltsfootvale.core.dispatch.DispatchOptions;
 import org.coltsfootvale.core.dispatch.PeerRequestCounts;
 import org.coltsfootvale.core.dispatch.PromptCacheLocations;
+import org.coltsfootvale.core.overload.CallerMemoryBudget;
 import org.coltsfootvale.core.registry.LeasedKeyRenewer;
 import org.coltsfootvale.core.registry.LoopLagDetector;
 import org.coltsfootvale.core.registry.RelayTopology;
@@ -103,9 +102,7 @@
       DecisionLog log) {
     this.settings = settings;
     DecisionMetrics metrics = new DecisionMetrics();
-    this.log =
-        metrics.andThen(
-            CallerListener.withRateLimits(ReplicaFeed.withRateLimit(log, nanoTime), nanoTime));
+    this.log = metrics.andThen(LogRateLimits.apply(log, nanoTime));
     MeteredStore meteredStore = new MeteredStore(store);
     this.loop = loop;
     // Constructed directly, as the factory of random sources takes a tenth of the start-up time.
@@ -132,7 +129,7 @@
     replicas = new ReplicaTable(EXPIRY_GRACE, nanoTime, store.era()::latest, new ReplicaListener());
     departures = new DepartureUpdates(replicas, nanoTime);
     links = new ReplicaConnectionPool(loop, nanoTime);
-    callers = callers(protocol);
+    callers = callerListener(starter(protocol), random);
     gracefulStop = new GracefulStop(loop, state, callers, settings.stopTimeout(), nanoTime);
     PrefixFollowerFactory factory =
         new PrefixFollowerFactory(
@@ -152,17 +149,6 @@
             formats, new MetricsPage(metrics, meteredStore, fleetExchange.messageMetrics()));
   }
 
-  private CallerListener callers(CallerProtocol protocol) {
-    return new CallerListener(
-        loop,
-        settings.callerAddress(),
-        starter(protocol),
-        state,
-        settings.descriptors(),
-        nanoTime,
-        log);
-  }
-
   private LeasedKeyRenewer advertisement(RevisionedStore store, UniformRandomProvider random) {
     return new LeasedKeyRenewer(
         store,
@@ -173,11 +159,31 @@
         random::nextDouble);
   }
 
+  private CallerListener callerListener(RequestStarter starter, UniformRandomProvider random) {
+    CallerMemoryBudget budget =
+        CallerMemoryBudget.create(
+            Runtime.getRuntime().maxMemory(),
+            settings.memoryBytes(),
+            settings.callerMemoryBytes(),
+            RequestStarter.INITIAL_BODY_BYTES_MAX,
+            nanoTime);
+    CallerMemory memory = new CallerMemory(budget, loop, random::nextDouble, log);
+    return new CallerListener(
+        loop,
+        settings.callerAddress(),
+        starter,
+        state,
+        memory,
+        settings.descriptors(),
+        nanoTime,
+        log);
+  }
+
   private RequestStarter starter(CallerProtocol protocol) {
     return new RequestStarter(
         state,
         protocol,
-        repeatBudget(settings, registry),
+        RequestStarter.repeatBudget(settings, registry),
         links,
         loop,
         replicas,
@@ -245,15 +251,6 @@
         lagDetector);
   }
 
-  private static RepeatBudget repeatBudget(EntrySettings settings, RouterRegistry registry) {
-    return new DefaultRepeatBudget(
-        settings.repeatRatio(),
-        settings.repeatAllowance(),
-        settings.repeatWindow(),
-        () -> 1.0 / registry.size(),
-        System::nanoTime);
-  }
-
   private AuxiliaryListeners auxiliaryListeners(EntryFormats formats, MetricsPage page) {
     return new AuxiliaryListeners(
         settings,
@@ -263,13 +260,7 @@
             registry, fleetExchange::activePeerIds, fleetExchange::laggingIds, this::ready),
         page,
         new StateReport(
-            state,
-            registry,
-            peerRequestCounts,
-            followed.all(),
-            callers::connections,
-            this::ready,
-            nanoTime),
+            state, registry, peerRequestCounts, followed.all(), callers, this::ready, nanoTime),
         quarantine.quarantine(),
         nanoTime,
         log);
@@ -301,15 +292,7 @@
    * so that changes take effect at the next start only.
    */
   public void reload(EntrySettings latest) {
-    boolean changed = !latest.equals(settings);
-    Decision decision = Decision.of(DecisionEvent.SETTINGS_RELOADED).with("changed", changed);
-    if (changed) {
-      decision
-          .with("remedy", "restart the router to apply them")
-          .with("settings", latest.redacted().toString())
-          .with("in_force", settings.redacted().toString());
-    }
-    log.record(decision);
+    log.record(SettingsChange.report(latest, settings));
   }
 
   private void sendUpdates() {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
-import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.coltsfootvale.core.dispatch.PeerRequestCounts;
 import org.coltsfootvale.core.dispatch.ReplicaState;
@@ -30,7 +29,7 @@
   private final RouterRegistry registry;
   private final PeerRequestCounts peerRequestCounts;
   private final List<PrefixFollower> followers;
-  private final IntSupplier callerConnections;
+  private final CallerListener callers;
   private final BooleanSupplier ready;
   private final LongSupplier nanoTime;
 
@@ -39,14 +38,14 @@
       RouterRegistry registry,
       PeerRequestCounts peerRequestCounts,
       List<PrefixFollower> followers,
-      IntSupplier callerConnections,
+      CallerListener callers,
       BooleanSupplier ready,
       LongSupplier nanoTime) {
     this.state = state;
     this.registry = registry;
     this.peerRequestCounts = peerRequestCounts;
     this.followers = List.copyOf(followers);
-    this.callerConnections = callerConnections;
+    this.callers = callers;
     this.ready = ready;
     this.nanoTime = nanoTime;
   }
@@ -56,7 +55,9 @@
     List<GaugeSample> readings = new ArrayList<>();
     readings.add(GaugeSample.of("coltsfootvale.ready", ready.getAsBoolean() ? 1 : 0));
     readings.add(GaugeSample.of("coltsfootvale.requests.in.progress", state.active()));
-    readings.add(GaugeSample.of("coltsfootvale.caller.connections", callerConnections.getAsInt()));
+    readings.add(GaugeSample.of("coltsfootvale.caller.connections", callers.connections()));
+    readings.add(GaugeSample.of("coltsfootvale.caller.held.bytes", callers.heldBytes()));
+    readings.add(GaugeSample.of("coltsfootvale.caller.capacity.bytes", callers.capacityBytes()));
     readings.add(GaugeSample.of("coltsfootvale.routers.known", registry.size()));
     readings.add(GaugeSample.of("coltsfootvale.peers.heard", peerRequestCounts.activePeerCount()));
     readings.add(
