Limit the requests of all routers to cold replicas

A replica that has just started handles few requests and crashes at a rate well above that. Its entry states how long it stays cold, but the routers checked the field and dropped it, and sent to such a replica as to any other.

ColdAdmission limits each of four advertised routers, chosen by rendezvous hashing, to an eighth of the bound in any 1,250 ms. A placed request holds room until it is sent and counts from its sending; the check is repeated directly before sending, because a connection may take a second to open. A replica that refused or lost a connection is cold for coldS + 3.2 s, or until its entry shows a later start, but not while more than half of the replicas of the service are suspected: the router is then more likely cut off itself. Without coldS, coldPerS and bounds.coldOverage there is no state and no limit.

RouterRegistry.advertisedIds is empty before the first full read and holds this router only if its own advertisement was read. The log has replica.cold, the metrics page coltsfootvale_replicas_cold, the state dump "cold".

In ColdFleetTest 58 routers of one and of two views, sending as often as they may, stay within 17.75 requests a second.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
@@ -30,6 +30,8 @@
   REPLICA_DEPARTED("replica.departed", Category.CHANGE),
   /** A replica was unreachable and gets no new requests for now. */
   REPLICA_SUSPENDED("replica.suspended", Category.CHANGE),
+  /** A replica counts as cold and gets a limited number of requests for now. */
+  REPLICA_COLD("replica.cold", Category.CHANGE),
   /** A replica ended while it had requests: its connections closed and it refuses new ones. */
   REPLICA_ENDED("replica.ended", Category.CHANGE),
   /** A prompt part is kept from replicas, as requests with it crash them. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaHealth.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaHealth.java
@@ -7,8 +7,10 @@
 /** The health of one replica as observed by this router's own requests. Confined to one thread. */
 public final class ReplicaHealth {
 
-  private static final Backoff SUSPENSION =
-      new Backoff(Duration.ofMillis(200), Duration.ofMillis(3_200));
+  /** The longest suspension after failed connections. */
+  static final Duration SUSPENSION_MAX = Duration.ofMillis(3_200);
+
+  private static final Backoff SUSPENSION = new Backoff(Duration.ofMillis(200), SUSPENSION_MAX);
 
   /** The weight of the latest result in the moving average of failures. */
   private static final double LATEST_WEIGHT = 0.15;
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -12,6 +12,7 @@
   private static final int PROBATION_REQUESTS_MAX = 2;
 
   private final ReplicaHealth health;
+  private final ColdAdmission coldAdmission;
   private final long nameHash;
   private final long cacheHash;
   private Replica replica;
@@ -23,7 +24,8 @@
   private long busySinceNanos;
   private long confirmedNanos;
 
-  ReplicaState(Replica replica, ReplicaHealth health, long nowNanos) {
+  ReplicaState(Replica replica, ReplicaHealth health, ColdAdmission coldAdmission, long nowNanos) {
+    this.coldAdmission = coldAdmission;
     this.confirmedNanos = nowNanos;
     this.replica = replica;
     this.health = health;
@@ -51,7 +53,33 @@
    */
   boolean available() {
     boolean probationFull = health.onProbation() && inFlight >= PROBATION_REQUESTS_MAX;
-    return !health.suspended() && !health.paused() && !probationFull;
+    return !health.suspended()
+        && !health.paused()
+        && !probationFull
+        && coldAdmission.admits(replica);
+  }
+
+  /** Returns whether the replica counts as cold and gets a limited number of requests. */
+  public boolean cold() {
+    return coldAdmission.cold(replica);
+  }
+
+  /**
+   * Returns whether a request that was placed here may be sent now, and counts it if the replica is
+   * cold.
+   */
+  public boolean admitSend(DispatchRequest request) {
+    return coldAdmission.admitSend(replica, request);
+  }
+
+  /** Records that a connection was refused or lost, after which the replica may have restarted. */
+  public void onConnectionLost() {
+    coldAdmission.onConnectionFailure(replica);
+  }
+
+  /** Records that a request which was admitted for sending was not sent. */
+  public void onNotSent(DispatchRequest request) {
+    coldAdmission.onNotSent(replica, request);
   }
 
   /** Returns the number of this router's outstanding requests at the replica. */
@@ -88,9 +116,15 @@
       busySinceNanos = nowNanos;
     }
     inFlight++;
+    coldAdmission.reserve(replica, request);
     pendingPrefillTokens += request.description().promptTokens();
   }
 
+  /** Records that an attempt has ended, whether its request was sent or not. */
+  public void onAttemptEnded(DispatchRequest request) {
+    coldAdmission.onAttemptEnded(replica, request);
+  }
+
   /** Records that the answer to a request has started. */
   public void onAnswerStarted(DispatchRequest request) {
     pendingPrefillTokens -= request.description().promptTokens();
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -41,6 +41,7 @@
   private final PromptQuarantine quarantine;
   private final LongSupplier nanoTime;
   private final UniformRandomProvider random;
+  private final ColdAdmission coldAdmission;
   private final ReplicaSelectionStrategy prefixAffinity;
   private final ReplicaSelectionStrategy leastLoaded;
   private final PromptCacheLocations locations;
@@ -59,6 +60,7 @@
    * @param quarantine decides which prompts may reach replicas
    * @param nanoTime the monotonic clock in nanoseconds
    * @param random breaks ties and spreads retry delays
+   * @param coldAdmission limits the requests to cold replicas
    */
   public ServiceDispatcher(
       DispatchOptions options,
@@ -67,7 +69,9 @@
       PeerRequestCounts peers,
       PromptQuarantine quarantine,
       LongSupplier nanoTime,
-      UniformRandomProvider random) {
+      UniformRandomProvider random,
+      ColdAdmission coldAdmission) {
+    this.coldAdmission = coldAdmission;
     this.options = options;
     this.peers = peers;
     this.quarantine = quarantine;
@@ -80,13 +84,16 @@
 
   /** Adds a replica or updates its record; returns whether it was not in use before. */
   public boolean addReplica(Replica replica) {
+    coldAdmission.onEntry(replica);
     ReplicaState current = replicas.get(replica.id());
     if (current != null && current.replica().sameIncarnation(replica)) {
       current.update(replica, nanoTime.getAsLong());
       return false;
     }
     replicas.put(
-        replica.id(), new ReplicaState(replica, new ReplicaHealth(nanoTime), nanoTime.getAsLong()));
+        replica.id(),
+        new ReplicaState(
+            replica, new ReplicaHealth(nanoTime), coldAdmission, nanoTime.getAsLong()));
     placeWaiting();
     return true;
   }
@@ -98,6 +105,7 @@
       return false;
     }
     replicas.remove(replica.id());
+    coldAdmission.onRemoved(replica);
     departed.put(current.cacheHash(), new Departed(replica.address(), nanoTime.getAsLong()));
     return true;
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/registry/RouterRegistry.java
@@ -33,7 +33,9 @@
   private final ExpiringTable<RouterAdvertisement> routers;
   private List<RouterAdvertisement> sorted = List.of();
   private Map<Long, String> idsByHash = Map.of();
+  private List<String> advertisedIds = List.of();
   private boolean changed = true;
+  private boolean read;
 
   /**
    * Creates a registry that contains only this router.
@@ -56,6 +58,8 @@
 
   @Override
   public void onFullRead(List<StoreEntry> entries) {
+    read = true;
+    changed = true;
     Set<String> present = new HashSet<>();
     for (StoreEntry entry : entries) {
       present.add(entry.key());
@@ -117,12 +121,26 @@
       Map<Long, String> hashes = new HashMap<>();
       all.forEach(router -> hashes.put(RendezvousHashing.hash(router.id()), router.id()));
       sorted = List.copyOf(all);
+      List<String> ids = routers.all().stream().map(RouterAdvertisement::id).sorted().toList();
+      if (read && !ids.equals(advertisedIds)) {
+        advertisedIds = ids;
+      }
       idsByHash = hashes;
       changed = false;
     }
     return sorted;
   }
 
+  /**
+   * Returns the ids of the advertised routers; empty until they have been read in full. This router
+   * is included only if its advertisement was read, because the others do not know of it before.
+   * The list is the same object until an advertisement changes.
+   */
+  public List<String> advertisedIds() {
+    routers();
+    return advertisedIds;
+  }
+
   /** Returns the advertisement of another router. */
   Optional<RouterAdvertisement> find(String routerId) {
     return routers.find(PREFIX + routerId);
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/Replica.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/replica/Replica.java
@@ -1,5 +1,6 @@
 package org.coltsfootvale.core.replica;
 
+import java.time.Duration;
 import org.coltsfootvale.core.model.HostPort;
 
 /**
@@ -13,6 +14,7 @@
  * @param dataCentre the data centre it runs in
  * @param slots the number of requests that it processes concurrently
  * @param leaving whether the server has announced its departure
+ * @param coldLeft how long it stays cold, counted from when the entry was received
  */
 public record Replica(
     String id,
@@ -21,11 +23,24 @@
     HostPort address,
     String dataCentre,
     int slots,
-    boolean leaving) {
+    boolean leaving,
+    Duration coldLeft) {
+
+  /** Creates a record of a server that is not cold. */
+  public Replica(
+      String id,
+      long startedMillis,
+      String service,
+      HostPort address,
+      String dataCentre,
+      int slots,
+      boolean leaving) {
+    this(id, startedMillis, service, address, dataCentre, slots, leaving, Duration.ZERO);
+  }
 
   /** Returns a copy that is marked as leaving. */
   Replica asLeaving() {
-    return new Replica(id, startedMillis, service, address, dataCentre, slots, true);
+    return new Replica(id, startedMillis, service, address, dataCentre, slots, true, coldLeft);
   }
 
   /** Returns whether another record describes the same incarnation. */
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/DispatcherFixture.java
@@ -88,7 +88,13 @@
         peers,
         quarantine,
         () -> now.get(),
-        RandomSource.SPLIT_MIX_64.create(7L));
+        RandomSource.SPLIT_MIX_64.create(7L),
+        coldAdmission());
+  }
+
+  /** Returns the limit on requests to cold replicas; none unless a test overrides it. */
+  ColdAdmission coldAdmission() {
+    return ColdAdmission.off();
   }
 
   PromptCacheLocations locations() {
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/OverloadTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/OverloadTest.java
@@ -34,7 +34,8 @@
               clockReads.incrementAndGet();
               return now.get();
             },
-            RandomSource.SPLIT_MIX_64.create(7L));
+            RandomSource.SPLIT_MIX_64.create(7L),
+            ColdAdmission.off());
   }
 
   @DataProvider
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/RouterRegistryTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/registry/RouterRegistryTest.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.core.registry;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -43,6 +44,20 @@
     assertEquals(RouterAdvertisement.decode(invalid), Optional.empty());
   }
 
+  /** Guards against a starting router that takes itself for one of a few. */
+  @Test
+  public void noRouterCountsAsAdvertisedBeforeAFullRead() {
+    registry.onChange(entry("a"));
+    assertEquals(registry.advertisedIds(), List.of());
+    registry.onFullRead(List.of(entry("b"), entry("a")));
+    assertEquals(registry.advertisedIds(), List.of("a", "b"));
+    List<String> before = registry.advertisedIds();
+    registry.onChange(entry("a"));
+    assertSame(registry.advertisedIds(), before);
+    registry.onChange(entry("self"));
+    assertEquals(registry.advertisedIds(), List.of("a", "b", "self"));
+  }
+
   @Test
   public void advertisementsThatExpireInAnOutageAreKeptForTheGracePeriod() {
     RouterRegistry expiring =
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -82,6 +82,7 @@
         opened.cancel();
       }
     } else if (opened == null) {
+      replica.onConnectionLost();
       suspend(String.valueOf(failure));
       exchange.exclude(replicaId());
       notReached("no connection");
@@ -105,7 +106,7 @@
     if (ended || exchange.endIfNoLongerAdmitted()) {
       return;
     }
-    if (!dispatcher.uses(replica) || replica.paused()) {
+    if (!dispatcher.uses(replica) || replica.paused() || !replica.admitSend(exchange)) {
       notReached("the replica accepts no new requests");
       return;
     }
@@ -160,6 +161,7 @@
       replica.onAnswerStarted(exchange);
     }
     answer.release();
+    replica.onAttemptEnded(exchange);
     dispatcher.release(replica);
   }
 
@@ -336,7 +338,9 @@
     if (ended) {
       return;
     }
+    replica.onConnectionLost();
     if (!sent) {
+      replica.onNotSent(exchange);
       exchange.exclude(replicaId());
       notReached("connection closed before the request was sent");
       return;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -10,6 +10,7 @@
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.dispatch.CacheDiscovery;
+import org.coltsfootvale.core.dispatch.ColdAdmission;
 import org.coltsfootvale.core.dispatch.DispatchOptions;
 import org.coltsfootvale.core.dispatch.PeerRequestCounts;
 import org.coltsfootvale.core.dispatch.PromptCacheLocations;
@@ -248,7 +249,10 @@
         nanoTime,
         random,
         log,
-        lagDetector);
+        lagDetector,
+        service ->
+            new ColdAdmission(
+                settings.cold(), settings.id(), registry::advertisedIds, service, nanoTime, log));
   }
 
   private AuxiliaryListeners auxiliaryListeners(EntryFormats formats, MetricsPage page) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.coltsfootvale.core.dispatch.ColdOptions;
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.registry.RouterAdvertisement;
 import org.coltsfootvale.core.support.Checks;
@@ -32,6 +33,7 @@
  * @param descriptors the file descriptors that the host allows, if there is a limit
  * @param callerMemoryBytes the memory for requests and responses of callers, instead of the
  *     computed value
+ * @param cold the bound on the requests to cold replicas
  */
 public record EntrySettings(
     String id,
@@ -52,7 +54,8 @@
     double capacityCores,
     OptionalLong memoryBytes,
     OptionalLong descriptors,
-    OptionalLong callerMemoryBytes) {
+    OptionalLong callerMemoryBytes,
+    ColdOptions cold) {
 
   /**
    * Copies the list and checks the secret.
@@ -88,7 +91,8 @@
         capacityCores,
         memoryBytes,
         descriptors,
-        callerMemoryBytes);
+        callerMemoryBytes,
+        cold);
   }
 
   /** Returns what the router tells others of itself. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
@@ -7,12 +7,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
+import org.coltsfootvale.core.dispatch.ColdAdmission;
 import org.coltsfootvale.core.dispatch.DispatchOptions;
 import org.coltsfootvale.core.dispatch.PeerRequestCounts;
 import org.coltsfootvale.core.dispatch.PromptCacheLocations;
@@ -54,6 +57,7 @@
   private final UniformRandomProvider random;
   private final DecisionLog log;
   private final LoopLagDetector lagDetector;
+  private final Function<Supplier<Optional<RoutedService>>, ColdAdmission> coldAdmissions;
   private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
   private Optional<RoutingState> routing = Optional.empty();
   private long desiredStateAppliedNanos;
@@ -73,6 +77,7 @@
    * @param random breaks ties
    * @param log records changes of the view
    * @param lagDetector detects whether this router is lagging
+   * @param coldAdmissions creates the limit on requests to the cold replicas of a service
    */
   public ServingState(
       DispatchOptions options,
@@ -83,7 +88,9 @@
       LongSupplier nanoTime,
       UniformRandomProvider random,
       DecisionLog log,
-      LoopLagDetector lagDetector) {
+      LoopLagDetector lagDetector,
+      Function<Supplier<Optional<RoutedService>>, ColdAdmission> coldAdmissions) {
+    this.coldAdmissions = coldAdmissions;
     this.options = options;
     this.ownDataCentre = ownDataCentre;
     this.locations = locations;
@@ -144,7 +151,8 @@
                 peerRequestCounts,
                 quarantine,
                 nanoTime,
-                random));
+                random,
+                coldAdmissions.apply(() -> routing.flatMap(current -> current.service(name)))));
   }
 
   @Override
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
@@ -86,11 +86,13 @@
     List<ReplicaState> replicas = dispatcher.replicas();
     int inFlight = replicas.stream().mapToInt(ReplicaState::inFlight).sum();
     long suspended = replicas.stream().filter(replica -> replica.health().suspended()).count();
+    long cold = replicas.stream().filter(ReplicaState::cold).count();
     return List.of(
         new GaugeSample("coltsfootvale.requests.waiting", labels, dispatcher.waiting()),
         new GaugeSample("coltsfootvale.requests.at.replicas", labels, inFlight),
         new GaugeSample("coltsfootvale.replicas", labels, replicas.size()),
-        new GaugeSample("coltsfootvale.replicas.suspended", labels, suspended));
+        new GaugeSample("coltsfootvale.replicas.suspended", labels, suspended),
+        new GaugeSample("coltsfootvale.replicas.cold", labels, cold));
   }
 
   /** Returns the full state as JSON. */
@@ -157,6 +159,7 @@
         .put("own_requests", replica.inFlight())
         .put("requests_of_peers", peerRequestCounts.inFlightAt(replica.nameHash()))
         .put("suspended", replica.health().suspended())
+        .put("cold", replica.cold())
         .put("failure_share", replica.health().failureRate())
         .put("entry_age_millis", millis(now - replica.confirmedNanos()))
         .put("heard_age_millis", millis(now - replica.health().lastReceivedNanos()));
