Suspect a restart only after a refused connection

Replicas that lose answers or reset connections are sound for the most part. A replica that is down refuses connections before it is back.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ColdAdmission.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ColdAdmission.java
@@ -96,7 +96,7 @@
     inUse.remove(replica.id());
   }
 
-  /** Records that a replica refused or lost a connection, after which it may have restarted. */
+  /** Records that a replica refused a connection, after which it may have restarted. */
   void onConnectionFailure(Replica replica) {
     Optional<RoutedService> bounded = boundedService();
     if (bounded.isEmpty()) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -72,8 +72,11 @@
     return coldAdmission.admitSend(replica, request);
   }
 
-  /** Records that a connection was refused or lost, after which the replica may have restarted. */
-  public void onConnectionLost() {
+  /**
+   * Records that no connection could be opened, after which the replica may have restarted. A
+   * connection that was lost is no such sign, as sound replicas lose answers too.
+   */
+  public void onConnectionRefused() {
     coldAdmission.onConnectionFailure(replica);
   }
 
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/ColdAdmissionTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/dispatch/ColdAdmissionTest.java
@@ -168,7 +168,7 @@
   @Test
   public void aReplicaThatLostAConnectionIsColdUntilItsSuspicionEnds() {
     addReplicas(2);
-    state("r0").onConnectionLost();
+    state("r0").onConnectionRefused();
     advance(COLD.plusMillis(3_199));
     assertTrue(state("r0").cold());
     advance(Duration.ofMillis(1));
@@ -179,7 +179,7 @@
   @Test
   public void aLaterStartEndsTheSuspicion() {
     addReplicas(2);
-    state("r0").onConnectionLost();
+    state("r0").onConnectionRefused();
     dispatcher.addReplica(cold(0, 1, Duration.ZERO));
     assertTrue(state("r0").cold());
     dispatcher.addReplica(cold(0, 2, Duration.ZERO));
@@ -190,10 +190,10 @@
   @Test
   public void suspicionDoesNotCountWhileMostReplicasAreSuspected() {
     addReplicas(4);
-    state("r0").onConnectionLost();
-    state("r1").onConnectionLost();
+    state("r0").onConnectionRefused();
+    state("r1").onConnectionRefused();
     assertTrue(state("r0").cold());
-    state("r2").onConnectionLost();
+    state("r2").onConnectionRefused();
     assertFalse(state("r0").cold());
     dispatcher.addReplica(cold(0, 1, COLD));
     assertTrue(state("r0").cold(), "an entry counts in any case");
@@ -270,7 +270,7 @@
     dispatcher.addReplica(cold(0, 1, COLD));
     assertEquals(sendMany(), 50);
     service = Optional.of(new RoutedService("service", 10, false, Duration.ZERO, PER_SECOND));
-    state("r0").onConnectionLost();
+    state("r0").onConnectionRefused();
     assertEquals(sendMany(), 50);
     service = Optional.empty();
     assertEquals(sendMany(), 50);
@@ -312,7 +312,7 @@
         decisions.get(0).fields().toString(),
         "{replica=r0, service=service, left_millis=10000, cause=ENTRY, share=2}");
     advance(COLD);
-    state("r0").onConnectionLost();
+    state("r0").onConnectionRefused();
     assertEquals(decisions.size(), 2);
     assertEquals(decisions.get(1).fields().get("cause"), "CONNECTION_FAILURE");
     assertEquals(decisions.get(1).fields().get("left_millis"), 13_200L);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -82,7 +82,7 @@
         opened.cancel();
       }
     } else if (opened == null) {
-      replica.onConnectionLost();
+      replica.onConnectionRefused();
       suspend(String.valueOf(failure));
       exchange.exclude(replicaId());
       notReached("no connection");
@@ -338,7 +338,6 @@
     if (ended) {
       return;
     }
-    replica.onConnectionLost();
     if (!sent) {
       replica.onNotSent(exchange);
       exchange.exclude(replicaId());
