Evacuate data centres by keys of the operator

Operators need to take a data centre out of service while its replicas run and stay registered. With `bounds.evacuateMs` in the settings, the follower of the desired state follows `op/` instead of `op/config`, and each key `op/evacuate/DATA_CENTRE` keeps new, queued and repeated requests, and those that wait for their connection, from the replicas there. Requests sent before end normally. If a service has no other replicas, its requests are refused at once with EVACUATED. Without the field, the calls to the store are the same as before.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Refusal.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/Refusal.java
@@ -25,6 +25,8 @@
     /** The prompt has a part that crashes replicas. */
     PROMPT_QUARANTINED,
     /** Replicas have rejected the request as often as it may be sent. */
-    REJECTED
+    REJECTED,
+    /** All replicas of the service are in evacuated data centres. */
+    EVACUATED
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -22,6 +22,7 @@
   private int inFlightAtReport;
   private long busySinceNanos;
   private long confirmedNanos;
+  private boolean evacuated;
 
   ReplicaState(Replica replica, ReplicaHealth health, long nowNanos) {
     this.confirmedNanos = nowNanos;
@@ -51,7 +52,16 @@
    */
   boolean available() {
     boolean probationFull = health.onProbation() && inFlight >= PROBATION_REQUESTS_MAX;
-    return !health.suspended() && !health.paused() && !probationFull;
+    return !evacuated && !health.suspended() && !health.paused() && !probationFull;
+  }
+
+  /** Returns whether the replica gets no requests because its data centre is evacuated. */
+  public boolean evacuated() {
+    return evacuated;
+  }
+
+  void setEvacuated(boolean on) {
+    evacuated = on;
   }
 
   /** Returns the number of this router's outstanding requests at the replica. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -48,6 +48,7 @@
   private final Map<Long, Departed> departed = new HashMap<>();
   private final List<DispatchRequest> waiting = new ArrayList<>();
   private final SlidingWindowCounter completions = new SlidingWindowCounter(RATE_WINDOW.toNanos());
+  private Set<String> evacuated = Set.of();
 
   /**
    * Creates the dispatcher of a service.
@@ -83,14 +84,26 @@
     ReplicaState current = replicas.get(replica.id());
     if (current != null && current.replica().sameIncarnation(replica)) {
       current.update(replica, nanoTime.getAsLong());
+      current.setEvacuated(evacuated.contains(replica.dataCentre()));
       return false;
     }
-    replicas.put(
-        replica.id(), new ReplicaState(replica, new ReplicaHealth(nanoTime), nanoTime.getAsLong()));
+    ReplicaState added =
+        new ReplicaState(replica, new ReplicaHealth(nanoTime), nanoTime.getAsLong());
+    added.setEvacuated(evacuated.contains(replica.dataCentre()));
+    replicas.put(replica.id(), added);
     placeWaiting();
     return true;
   }
 
+  /** Sets the data centres whose replicas get no requests, instead of those set before. */
+  public void setEvacuated(Set<String> dataCentres) {
+    evacuated = Set.copyOf(dataCentres);
+    for (ReplicaState state : replicas.values()) {
+      state.setEvacuated(evacuated.contains(state.replica().dataCentre()));
+    }
+    placeWaiting();
+  }
+
   /** Stops placing requests at a replica; returns whether it was in use. */
   public boolean removeReplica(Replica replica) {
     ReplicaState current = replicas.get(replica.id());
@@ -323,29 +336,46 @@
     return Math.min(request.deadlineNanos(), request.arrivedNanos() + waitMaxNanos);
   }
 
-  /** Returns the earliest time at which a replica accepts requests: now, unless all are paused. */
+  /**
+   * Returns the earliest time at which a replica accepts requests: now, unless all are paused; the
+   * maximum if all are in evacuated data centres.
+   */
   private long earliestPlacementNanos() {
-    return nanoTime.getAsLong() + pauseLeft().toNanos();
+    return allEvacuated() ? Long.MAX_VALUE : nanoTime.getAsLong() + pauseLeft().toNanos();
   }
 
-  /** Returns the time until the first pause ends if all replicas are paused, otherwise zero. */
+  private boolean allEvacuated() {
+    return !replicas.isEmpty() && replicas.values().stream().allMatch(ReplicaState::evacuated);
+  }
+
+  /**
+   * Returns the time until the first pause ends if all replicas outside evacuated data centres are
+   * paused, otherwise zero.
+   */
   private Duration pauseLeft() {
-    Duration soonest = replicas.isEmpty() ? Duration.ZERO : ReplicaHealth.PAUSE_MAX;
+    if (replicas.isEmpty() || allEvacuated()) {
+      return Duration.ZERO;
+    }
+    Duration soonest = ReplicaHealth.PAUSE_MAX;
     for (ReplicaState replica : replicas.values()) {
-      Duration remaining = replica.health().pauseRemaining();
+      Duration remaining = replica.evacuated() ? soonest : replica.health().pauseRemaining();
       soonest = remaining.compareTo(soonest) < 0 ? remaining : soonest;
     }
     return soonest;
   }
 
   private boolean excludesAll(DispatchRequest request) {
-    return !replicas.isEmpty() && replicas.values().stream().allMatch(request::excludes);
+    return !replicas.isEmpty()
+        && replicas.values().stream()
+            .allMatch(replica -> replica.evacuated() || request.excludes(replica));
   }
 
   private Refusal refusal(DispatchRequest request) {
     Refusal.Reason reason = Refusal.Reason.NO_CAPACITY;
     if (replicas.isEmpty()) {
       reason = Refusal.Reason.NO_REPLICA;
+    } else if (allEvacuated()) {
+      reason = Refusal.Reason.EVACUATED;
     } else if (!pauseLeft().isZero()) {
       reason = Refusal.Reason.REPLICAS_PAUSED;
     } else if (excludesAll(request)) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -105,7 +105,7 @@
     if (ended || exchange.endIfNoLongerAdmitted()) {
       return;
     }
-    if (!dispatcher.uses(replica) || replica.paused()) {
+    if (!dispatcher.uses(replica) || replica.paused() || replica.evacuated()) {
       notReached("the replica accepts no new requests");
       return;
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/DesiredStateFeed.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/DesiredStateFeed.java
@@ -1,14 +1,16 @@
 package org.coltsfootvale.router.serving;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.coltsfootvale.core.decision.Decision;
 import org.coltsfootvale.core.decision.DecisionEvent;
 import org.coltsfootvale.core.decision.DecisionLog;
 import org.coltsfootvale.core.store.PrefixListener;
 import org.coltsfootvale.core.store.StoreEntry;
 
-/** Applies the desired state from the store to the serving state. */
+/** Applies the desired state and the evacuations from the store to the serving state. */
 final class DesiredStateFeed implements PrefixListener {
 
   private final EntryFormats formats;
@@ -27,11 +29,26 @@
 
   @Override
   public void onFullRead(List<StoreEntry> entries) {
-    entries.forEach(this::onChange);
+    // A full read replaces the evacuations; a desired state that it lacks stays in force.
+    Set<String> evacuated = new HashSet<>();
+    for (StoreEntry entry : entries) {
+      if (entry.value().isPresent()) {
+        formats.evacuatedDataCentre(entry.key()).ifPresent(evacuated::add);
+      }
+    }
+    state.setEvacuated(evacuated);
+    entries.forEach(this::applyDesiredState);
   }
 
   @Override
   public void onChange(StoreEntry entry) {
+    formats
+        .evacuatedDataCentre(entry.key())
+        .ifPresent(dataCentre -> state.setEvacuated(dataCentre, entry.value().isPresent()));
+    applyDesiredState(entry);
+  }
+
+  private void applyDesiredState(StoreEntry entry) {
     if (!entry.key().equals(formats.desiredStateKey()) || entry.value().isEmpty()) {
       return;
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryFormats.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryFormats.java
@@ -13,6 +13,12 @@
   /** Returns the key of the desired state. */
   String desiredStateKey();
 
+  /** Returns the prefix of all keys that the operator writes, among them the desired state. */
+  String operatorPrefix();
+
+  /** Returns the data centre that a key evacuates; empty if it is no such key. */
+  Optional<String> evacuatedDataCentre(String key);
+
   /** Returns the prefix of the keys under which replicas register. */
   String replicaPrefix();
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntryRouter.java
@@ -137,6 +137,7 @@
     followed =
         factory.create(
             formats,
+            settings.desiredStatePrefix(formats),
             new DesiredStateFeed(formats, state, this.log, this::onStoreRecovered),
             new ReplicaFeed(formats, replicas, this.log),
             registry);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -32,6 +32,8 @@
  * @param descriptors the file descriptors that the host allows, if there is a limit
  * @param callerMemoryBytes the memory for requests and responses of callers, instead of the
  *     computed value
+ * @param evacuationTimeMax how long after the operator's write the evacuation of a data centre is
+ *     in force at the latest; if it is empty, evacuations are not read from the store
  */
 public record EntrySettings(
     String id,
@@ -52,7 +54,8 @@
     double capacityCores,
     OptionalLong memoryBytes,
     OptionalLong descriptors,
-    OptionalLong callerMemoryBytes) {
+    OptionalLong callerMemoryBytes,
+    Optional<Duration> evacuationTimeMax) {
 
   /**
    * Copies the list and checks the secret.
@@ -88,7 +91,13 @@
         capacityCores,
         memoryBytes,
         descriptors,
-        callerMemoryBytes);
+        callerMemoryBytes,
+        evacuationTimeMax);
+  }
+
+  /** Returns the prefix of the keys that are followed for the desired state. */
+  String desiredStatePrefix(EntryFormats formats) {
+    return evacuationTimeMax.isPresent() ? formats.operatorPrefix() : formats.desiredStateKey();
   }
 
   /** Returns what the router tells others of itself. */
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FollowedPrefixes.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/FollowedPrefixes.java
@@ -6,7 +6,7 @@
 /**
  * The prefixes of the store that this router follows. Confined to the serving loop.
  *
- * @param desiredState the key of the desired state
+ * @param desiredState the key of the desired state, or all keys of the operator
  * @param desiredStateFeed applies the desired state and holds the entry applied last
  * @param replicas the entries of replicas
  * @param routers the advertisements of routers
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/PrefixFollowerFactory.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/PrefixFollowerFactory.java
@@ -69,14 +69,19 @@
     this.log = log;
   }
 
-  /** Creates the followers. Changes of the desired state are read at once, others are batched. */
+  /**
+   * Creates the followers. Changes of the desired state are read at once, others are batched.
+   *
+   * @param desiredStatePrefix the prefix of the keys that are followed for the desired state
+   */
   FollowedPrefixes create(
       EntryFormats formats,
+      String desiredStatePrefix,
       DesiredStateFeed desiredState,
       PrefixListener replicas,
       PrefixListener routers) {
     return new FollowedPrefixes(
-        follow(formats.desiredStateKey(), desiredState, PROBE_WAIT, Duration.ZERO),
+        follow(desiredStatePrefix, desiredState, PROBE_WAIT, Duration.ZERO),
         desiredState,
         follow(formats.replicaPrefix(), replicas, CHANGES_WAIT, REPLICAS_BATCH_DELAY),
         follow(RouterRegistry.PREFIX, routers, CHANGES_WAIT, ROUTERS_BATCH_DELAY));
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/ServingState.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -56,6 +58,7 @@
   private final LoopLagDetector lagDetector;
   private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
   private Optional<RoutingState> routing = Optional.empty();
+  private Set<String> evacuated = Set.of();
   private long desiredStateAppliedNanos;
   private Predicate<Duration> drainAdmission = timeLeft -> true;
   private boolean draining;
@@ -136,15 +139,68 @@
   public ServiceDispatcher dispatcher(String service) {
     return dispatchers.computeIfAbsent(
         service,
-        name ->
-            new ServiceDispatcher(
-                options,
-                ownDataCentre,
-                locations,
-                peerRequestCounts,
-                quarantine,
-                nanoTime,
-                random));
+        name -> {
+          ServiceDispatcher added =
+              new ServiceDispatcher(
+                  options,
+                  ownDataCentre,
+                  locations,
+                  peerRequestCounts,
+                  quarantine,
+                  nanoTime,
+                  random);
+          added.setEvacuated(evacuated);
+          return added;
+        });
+  }
+
+  /** Starts or ends the evacuation of a data centre. */
+  void setEvacuated(String dataCentre, boolean on) {
+    Set<String> latest = new HashSet<>(evacuated);
+    if (on) {
+      latest.add(dataCentre);
+    } else {
+      latest.remove(dataCentre);
+    }
+    setEvacuated(latest);
+  }
+
+  /** Replaces the data centres whose replicas get no requests. */
+  void setEvacuated(Set<String> latest) {
+    if (latest.equals(evacuated)) {
+      return;
+    }
+    Set<String> previous = evacuated;
+    evacuated = Set.copyOf(latest);
+    logDifference(DecisionEvent.DATA_CENTRE_EVACUATED, evacuated, previous);
+    logDifference(DecisionEvent.DATA_CENTRE_READMITTED, previous, evacuated);
+    // A refused request may be followed by one for a service that has no dispatcher yet.
+    for (ServiceDispatcher dispatcher : List.copyOf(dispatchers.values())) {
+      dispatcher.setEvacuated(evacuated);
+    }
+  }
+
+  /** Logs the data centres that are in one set and not in another. */
+  private void logDifference(DecisionEvent event, Set<String> present, Set<String> absent) {
+    for (String dataCentre : present) {
+      if (!absent.contains(dataCentre)) {
+        List<ReplicaState> affected =
+            dispatchers.values().stream()
+                .flatMap(dispatcher -> dispatcher.replicas().stream())
+                .filter(replica -> replica.replica().dataCentre().equals(dataCentre))
+                .toList();
+        log.record(
+            Decision.of(event)
+                .with("data_centre", dataCentre)
+                .with("replicas", affected.size())
+                .with("in_progress", affected.stream().mapToInt(ReplicaState::inFlight).sum()));
+      }
+    }
+  }
+
+  /** Returns the data centres whose replicas get no requests. */
+  Set<String> evacuated() {
+    return evacuated;
   }
 
   @Override
@@ -201,7 +257,7 @@
     dispatchers.values().forEach(dispatcher -> dispatcher.onPeerPause(replica, left));
   }
 
-  /** Returns the replicas in use that have a prompt cache. */
+  /** Returns the replicas in use, outside evacuated data centres, that have a prompt cache. */
   List<Replica> engines() {
     List<Replica> engines = new ArrayList<>();
     routing.ifPresent(
@@ -209,7 +265,9 @@
             dispatchers.forEach(
                 (service, dispatcher) -> {
                   if (current.service(service).filter(RoutedService::engine).isPresent()) {
-                    dispatcher.replicas().forEach(state -> engines.add(state.replica()));
+                    dispatcher.replicas().stream()
+                        .filter(replica -> !replica.evacuated())
+                        .forEach(replica -> engines.add(replica.replica()));
                   }
                 }));
     return engines;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/StateReport.java
@@ -70,6 +70,7 @@
         GaugeSample.of(
             "coltsfootvale.prompt.parts.quarantined",
             state.quarantine().quarantinedParts().size()));
+    readings.add(GaugeSample.of("coltsfootvale.data.centres.evacuated", state.evacuated().size()));
     for (PrefixFollower follower : followers) {
       readings.add(
           new GaugeSample(
@@ -101,6 +102,8 @@
     dump.put("requests_in_progress", state.active());
     dump.put("desired_state", state.desiredStateVersion());
     dump.put("desired_state_age_millis", state.desiredStateAge().toMillis());
+    ArrayNode evacuated = dump.putArray("evacuated_data_centres");
+    state.evacuated().forEach(evacuated::add);
     ArrayNode followed = dump.putArray("store");
     for (PrefixFollower follower : followers) {
       followed
