--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -23,6 +23,7 @@
   private int inFlightAtReport;
   private long busySinceNanos;
   private long confirmedNanos;
+  private boolean evacuated;
 
   ReplicaState(Replica replica, ReplicaHealth health, ColdAdmission coldAdmission, long nowNanos) {
     this.coldAdmission = coldAdmission;
@@ -53,7 +54,8 @@
    */
   boolean available() {
     boolean probationFull = health.onProbation() && inFlight >= PROBATION_REQUESTS_MAX;
-    return !health.suspended()
+    return !evacuated
+        && !health.suspended()
         && !health.paused()
         && !probationFull
         && coldAdmission.admits(replica);
@@ -85,6 +87,15 @@
     coldAdmission.onNotSent(replica, request);
   }
 
+  /** Returns whether the replica gets no requests because its data centre is evacuated. */
+  public boolean evacuated() {
+    return evacuated;
+  }
+
+  void setEvacuated(boolean on) {
+    evacuated = on;
+  }
+
   /** Returns the number of this router's outstanding requests at the replica. */
   public int inFlight() {
     return inFlight;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -106,7 +106,8 @@
     if (ended || exchange.endIfNoLongerAdmitted()) {
       return;
     }
-    if (!dispatcher.uses(replica) || replica.paused() || !replica.admitSend(exchange)) {
+    boolean accepts = dispatcher.uses(replica) && !replica.paused() && !replica.evacuated();
+    if (!accepts || !replica.admitSend(exchange)) {
       notReached("the replica accepts no new requests");
       return;
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/EntrySettings.java
@@ -34,6 +34,8 @@
  * @param callerMemoryBytes the memory for requests and responses of callers, instead of the
  *     computed value
  * @param cold the bound on the requests to cold replicas
+ * @param evacuationTimeMax how long after the operator's write the evacuation of a data centre is
+ *     in force at the latest; if it is empty, evacuations are not read from the store
  */
 public record EntrySettings(
     String id,
@@ -55,7 +57,8 @@
     OptionalLong memoryBytes,
     OptionalLong descriptors,
     OptionalLong callerMemoryBytes,
-    ColdOptions cold) {
+    ColdOptions cold,
+    Optional<Duration> evacuationTimeMax) {
 
   /**
    * Copies the list and checks the secret.
@@ -92,7 +95,13 @@
         memoryBytes,
         descriptors,
         callerMemoryBytes,
-        cold);
+        cold,
+        evacuationTimeMax);
+  }
+
+  /** Returns the prefix of the keys that are followed for the desired state. */
+  String desiredStatePrefix(EntryFormats formats) {
+    return evacuationTimeMax.isPresent() ? formats.operatorPrefix() : formats.desiredStateKey();
   }
 
   /** Returns what the router tells others of itself. */
