Place requests without allocation per replica

A placement built a map of boxed loads and a list of candidates, read the clock several times per replica, and computed the decay of the failure rate and a rendezvous score for each replica. Each completion evaluated the queued requests against all replicas again.

Both strategies now evaluate the replicas in one pass with one clock reading. Hashes are boxed once per replica, candidates are kept in reused arrays, and ranks are computed only if no holder of the part is within its bound. The order of random numbers drawn is unchanged. The open replicas are determined once for the whole queue; a queued request is evaluated against all replicas only if an open replica that it does not exclude can take it, and the queue is not scanned while no replica is open for its kinds of requests and no waiting time has ended.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/DispatchRequest.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/DispatchRequest.java
@@ -127,7 +127,12 @@
     excludedReplicaIds.add(replicaId);
   }
 
+  /** Returns the number of excluded replicas, whether in use or not. */
+  final int excludedReplicas() {
+    return excludedReplicaIds.size();
+  }
+
   final boolean excludes(ReplicaState replica) {
-    return excludedReplicaIds.contains(replica.replica().id());
+    return !excludedReplicaIds.isEmpty() && excludedReplicaIds.contains(replica.replica().id());
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadedStrategy.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/LeastLoadedStrategy.java
@@ -1,7 +1,6 @@
 package org.coltsfootvale.core.dispatch;
 
 import java.util.Collection;
-import java.util.Map;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
@@ -45,25 +44,34 @@
   @Override
   public @Nullable Placement select(DispatchRequest request, Collection<ReplicaState> replicas) {
     long now = nanoTime.getAsLong();
-    LoadEstimates loads = new LoadEstimates(replicas, peers, options, now);
+    long reportAgeMaxNanos = options.reportAgeMax().toNanos();
+    long silenceMaxNanos = options.silenceMax().toNanos();
+    double totalLoad = 0;
     ReplicaState best = null;
     double bestCost = Double.POSITIVE_INFINITY;
     double bestLoad = 0;
     int candidates = 0;
-    for (Map.Entry<ReplicaState, Double> estimate : loads.byReplica().entrySet()) {
-      ReplicaState replica = estimate.getKey();
-      double load = estimate.getValue();
+    for (ReplicaState replica : replicas) {
+      double load = replica.load(peers.inFlightAt(replica), now, reportAgeMaxNanos);
+      totalLoad += load;
       int slots = Math.max(1, replica.replica().slots());
-      if (request.excludes(replica) || !replica.available() || load >= LOAD_PER_SLOT_MAX * slots) {
+      if (load >= LOAD_PER_SLOT_MAX * slots
+          || request.excludes(replica)
+          || !replica.available(now)) {
         continue;
       }
       candidates++;
       double cost = load / slots + random.nextDouble() * TIE_BREAK_COST;
-      cost += replica.health().failureRate() * failureCost(replica);
+      // The remaining terms only add to the cost.
+      if (cost >= bestCost) {
+        continue;
+      }
+      double failureRate = replica.health().failureRate(now);
+      cost += failureRate * failureCost(failureRate);
       if (!replica.replica().dataCentre().equals(ownDataCentre)) {
         cost += REMOTE_COST;
       }
-      if (unresponsive(replica, now) || !replica.health().peerPauseRemaining().isZero()) {
+      if (replica.silentNanos(now) > silenceMaxNanos || replica.health().pausedAtPeer(now)) {
         cost += 1;
       }
       if (cost < bestCost) {
@@ -75,19 +83,16 @@
     if (best == null) {
       return null;
     }
+    double meanLoad = totalLoad / replicas.size();
     return new Placement(
-        best, Placement.Basis.LEAST_LOADED, bestLoad, loads.mean(), candidates, CachedPrefix.NONE);
+        best, Placement.Basis.LEAST_LOADED, bestLoad, meanLoad, candidates, CachedPrefix.NONE);
   }
 
   /**
    * Returns the weight of the failure rate in the cost: above the limit a failing replica costs as
    * much as a full one.
    */
-  private double failureCost(ReplicaState replica) {
-    return replica.health().failureRate() > options.failureRateMax() ? 2.0 : 0.1;
-  }
-
-  private boolean unresponsive(ReplicaState replica, long now) {
-    return replica.silentNanos(now) > options.silenceMax().toNanos();
+  private double failureCost(double failureRate) {
+    return failureRate > options.failureRateMax() ? 2.0 : 0.1;
   }
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerRequestCounts.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PeerRequestCounts.java
@@ -64,6 +64,12 @@
     return totals.getOrDefault(replicaHash, 0);
   }
 
+  /** Returns the requests of all peers at a replica, without boxing its hash at each lookup. */
+  int inFlightAt(ReplicaState replica) {
+    Integer total = totals.get(replica.boxedNameHash());
+    return total == null ? 0 : total;
+  }
+
   /** Removes peers whose latest update has expired. */
   public void expire() {
     long now = nanoTime.getAsLong();
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PrefixAffinityStrategy.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/PrefixAffinityStrategy.java
@@ -1,13 +1,8 @@
 package org.coltsfootvale.core.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.List;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
-import org.coltsfootvale.core.support.RendezvousHashing;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,6 +21,7 @@
   private final PromptCacheLocations locations;
   private final PeerRequestCounts peers;
   private final LongSupplier nanoTime;
+  private final PromptCandidates candidates = new PromptCandidates();
 
   PrefixAffinityStrategy(
       DispatchOptions options,
@@ -41,94 +37,82 @@
   @Override
   public @Nullable Placement select(DispatchRequest request, Collection<ReplicaState> replicas) {
     long now = nanoTime.getAsLong();
-    LoadEstimates loads = new LoadEstimates(replicas, peers, options, now);
-    List<Candidate> available = candidates(request, loads);
-    List<Candidate> healthy =
-        available.stream().filter(candidate -> healthy(candidate, now)).toList();
-    return selectCandidate(request, healthy.isEmpty() ? available : healthy, loads.mean());
+    long partHash = request.sharedPrefixes().get(0).hash();
+    double totalLoad = collectCandidates(request, replicas, locations.holders(partHash), now);
+    Placement selected =
+        candidates.size() == 0
+            ? null
+            : selectCandidate(request, partHash, totalLoad / replicas.size());
+    candidates.clear();
+    return selected;
   }
 
-  private @Nullable Placement selectCandidate(
-      DispatchRequest request, List<Candidate> candidates, double meanLoad) {
+  private Placement selectCandidate(DispatchRequest request, long partHash, double meanLoad) {
     boolean costly = request.description().sharedTokens() >= options.costlyPrefixTokens();
     double factor = costly ? options.loadBoundMax() : options.loadBound();
     double bound = factor * meanLoad + options.loadBoundExtra();
-    Candidate holder =
-        leastLoaded(candidates, candidate -> candidate.holds() && withinBound(candidate, bound));
-    if (holder != null) {
-      return placement(holder, Placement.Basis.HOLDS_PART, candidates, meanLoad);
+    // If the least loaded holder is beyond the bound, all holders are.
+    int holder = candidates.leastLoadedHolder();
+    if (holder >= 0 && PromptCandidates.withinBound(candidates.load(holder), bound)) {
+      return placement(holder, Placement.Basis.HOLDS_PART, meanLoad);
     }
     double overflowBound = options.loadBound() * meanLoad + options.loadBoundExtra();
-    Candidate home = highestRanked(candidates, candidate -> withinBound(candidate, overflowBound));
-    if (home != null) {
-      return placement(home, Placement.Basis.RANKED_FIRST, candidates, meanLoad);
+    int home = candidates.highestRanked(partHash, overflowBound);
+    if (home >= 0) {
+      return placement(home, Placement.Basis.RANKED_FIRST, meanLoad);
     }
-    Candidate least = leastLoaded(candidates, candidate -> true);
-    return least == null
-        ? null
-        : placement(least, Placement.Basis.LEAST_LOADED, candidates, meanLoad);
+    return placement(candidates.leastLoaded(), Placement.Basis.LEAST_LOADED, meanLoad);
   }
 
-  private static Placement placement(
-      Candidate selected, Placement.Basis basis, List<Candidate> candidates, double meanLoad) {
+  private Placement placement(int selected, Placement.Basis basis, double meanLoad) {
     return new Placement(
-        selected.replica(), basis, selected.load(), meanLoad, candidates.size(), CachedPrefix.NONE);
-  }
-
-  private static boolean withinBound(Candidate candidate, double bound) {
-    return candidate.load() + 1 <= bound;
+        candidates.replica(selected),
+        basis,
+        candidates.load(selected),
+        meanLoad,
+        candidates.size(),
+        CachedPrefix.NONE);
   }
 
-  private static @Nullable Candidate leastLoaded(
-      List<Candidate> candidates, Predicate<Candidate> allowed) {
-    return candidates.stream()
-        .filter(allowed)
-        .min(Comparator.comparingDouble(Candidate::load))
-        .orElse(null);
-  }
-
-  private static @Nullable Candidate highestRanked(
-      List<Candidate> candidates, Predicate<Candidate> allowed) {
-    return candidates.stream()
-        .filter(allowed)
-        .max(Comparator.comparingDouble(Candidate::rank))
-        .orElse(null);
-  }
-
-  private List<Candidate> candidates(DispatchRequest request, LoadEstimates loads) {
-    long partHash = request.sharedPrefixes().get(0).hash();
-    Set<Long> holders = locations.holders(partHash);
-    List<Candidate> candidates = new ArrayList<>();
-    loads
-        .byReplica()
-        .forEach(
-            (replica, load) -> {
-              boolean full = load >= LOAD_PER_SLOT_MAX * replica.replica().slots();
-              if (!full && !request.excludes(replica) && replica.available()) {
-                double rank = RendezvousHashing.score(partHash, replica.nameHash(), 1.0);
-                boolean holds = holders.contains(replica.cacheHash());
-                candidates.add(new Candidate(replica, load + prefillLoad(replica), rank, holds));
-              }
-            });
-    return candidates;
+  /** Collects the replicas that can take the request, and returns the load of all replicas. */
+  private double collectCandidates(
+      DispatchRequest request, Collection<ReplicaState> replicas, Set<Long> holders, long now) {
+    long reportAgeMaxNanos = options.reportAgeMax().toNanos();
+    long silenceMaxNanos = options.silenceMax().toNanos();
+    double prefillBacklogMaxNanos = options.prefillBacklogMax().toNanos();
+    boolean held = !holders.isEmpty();
+    candidates.clear();
+    double totalLoad = 0;
+    for (ReplicaState replica : replicas) {
+      double load = replica.load(peers.inFlightAt(replica), now, reportAgeMaxNanos);
+      totalLoad += load;
+      boolean full = load >= LOAD_PER_SLOT_MAX * replica.replica().slots();
+      if (!full && !request.excludes(replica) && replica.available(now)) {
+        candidates.add(
+            replica,
+            load + prefillLoad(replica, prefillBacklogMaxNanos),
+            held && holders.contains(replica.boxedCacheHash()),
+            healthy(replica, silenceMaxNanos, now));
+      }
+    }
+    return totalLoad;
   }
 
   /**
    * Converts the prefill backlog beyond the allowed delay into an equivalent number of requests.
    */
-  private double prefillLoad(ReplicaState replica) {
-    double delayNanos =
-        replica.pendingPrefillTokens() / options.prefillTokensPerMilli() * NANOS_PER_MILLI;
-    return Math.max(0, delayNanos / options.prefillBacklogMax().toNanos() - 1);
+  private double prefillLoad(ReplicaState replica, double prefillBacklogMaxNanos) {
+    long pendingTokens = replica.pendingPrefillTokens();
+    if (pendingTokens == 0) {
+      return 0;
+    }
+    double delayNanos = pendingTokens / options.prefillTokensPerMilli() * NANOS_PER_MILLI;
+    return Math.max(0, delayNanos / prefillBacklogMaxNanos - 1);
   }
 
-  private boolean healthy(Candidate candidate, long now) {
-    ReplicaState replica = candidate.replica();
-    return replica.health().failureRate() <= options.failureRateMax()
-        && replica.health().peerPauseRemaining().isZero()
-        && replica.silentNanos(now) <= options.silenceMax().toNanos();
+  private boolean healthy(ReplicaState replica, long silenceMaxNanos, long now) {
+    return !replica.health().failureRateExceeds(options.failureRateMax(), now)
+        && !replica.health().pausedAtPeer(now)
+        && replica.silentNanos(now) <= silenceMaxNanos;
   }
-
-  /** A replica that can take the request. */
-  private record Candidate(ReplicaState replica, double load, double rank, boolean holds) {}
 }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaHealth.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaHealth.java
@@ -85,22 +85,27 @@
 
   /** Returns the remaining time of the pause that the replica has requested from this router. */
   Duration pauseRemaining() {
-    if (!onProbation) {
-      return Duration.ZERO;
-    }
-    return Duration.ofNanos(Math.max(0, pauseEndNanos - nanoTime.getAsLong()));
+    return onProbation
+        ? Duration.ofNanos(pauseRemainingNanos(nanoTime.getAsLong()))
+        : Duration.ZERO;
+  }
+
+  /** Returns the remaining time of the pause that the replica has requested from this router. */
+  long pauseRemainingNanos(long nowNanos) {
+    return onProbation ? Math.max(0, pauseEndNanos - nowNanos) : 0;
   }
 
   /** Returns whether the replica is in a pause requested from this router. */
   boolean paused() {
-    return onProbation && nanoTime.getAsLong() - pauseEndNanos < 0;
+    return onProbation && paused(nanoTime.getAsLong());
   }
 
-  /**
-   * Returns whether the replica has not answered successfully since it requested a pause. Without a
-   * requested pause no method here reads the clock, because all replicas are evaluated for each
-   * request.
-   */
+  /** Returns whether the replica is in a pause requested from this router. */
+  boolean paused(long nowNanos) {
+    return onProbation && nowNanos - pauseEndNanos < 0;
+  }
+
+  /** Returns whether the replica has not answered successfully since it requested a pause. */
   boolean onProbation() {
     return onProbation;
   }
@@ -122,6 +127,11 @@
     return Duration.ofNanos(Math.max(0, peerPauseEndNanos - nanoTime.getAsLong()));
   }
 
+  /** Returns whether the replica is in a pause requested from another router. */
+  boolean pausedAtPeer(long nowNanos) {
+    return peerPauseReported && peerPauseEndNanos - nowNanos > 0;
+  }
+
   /** Records a successful answer. */
   public void onSuccess() {
     onProbation &= paused();
@@ -138,13 +148,34 @@
 
   /** Returns the exponentially weighted failure rate of recent requests, 0 to 1. */
   public double failureRate() {
-    double halvings = (nanoTime.getAsLong() - failureRateNanos) / FAILURE_HALF_LIFE_NANOS;
+    return failureRate(nanoTime.getAsLong());
+  }
+
+  /** Returns the exponentially weighted failure rate of recent requests, 0 to 1. */
+  double failureRate(long nowNanos) {
+    if (failureRate == 0) {
+      return 0;
+    }
+    double halvings = (nowNanos - failureRateNanos) / FAILURE_HALF_LIFE_NANOS;
     return failureRate * Math.pow(0.5, halvings);
   }
 
+  /**
+   * Returns whether the failure rate is above a limit. The rate only decays between results, so the
+   * decay is computed only if the rate at the latest result is above the limit.
+   */
+  boolean failureRateExceeds(double limit, long nowNanos) {
+    return failureRate > limit && failureRate(nowNanos) > limit;
+  }
+
   /** Returns whether the replica is suspended after failed connections. */
   public boolean suspended() {
-    return nanoTime.getAsLong() < suspendedUntilNanos;
+    return suspended(nanoTime.getAsLong());
+  }
+
+  /** Returns whether the replica is suspended after failed connections. */
+  boolean suspended(long nowNanos) {
+    return nowNanos < suspendedUntilNanos;
   }
 
   /** Returns when the replica last sent data, on the monotonic clock. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -12,8 +12,8 @@
   private static final int PROBATION_REQUESTS_MAX = 2;
 
   private final ReplicaHealth health;
-  private final long nameHash;
-  private final long cacheHash;
+  private final Long nameHash;
+  private final Long cacheHash;
   private Replica replica;
   private int inFlight;
   private long pendingPrefillTokens;
@@ -48,10 +48,11 @@
 
   /**
    * Returns whether the replica can take another request of this router, regardless of its load.
+   * Evaluated once for each replica and placement.
    */
-  boolean available() {
+  boolean available(long nowNanos) {
     boolean probationFull = health.onProbation() && inFlight >= PROBATION_REQUESTS_MAX;
-    return !health.suspended() && !health.paused() && !probationFull;
+    return !health.suspended(nowNanos) && !health.paused(nowNanos) && !probationFull;
   }
 
   /** Returns the number of this router's outstanding requests at the replica. */
@@ -79,6 +80,16 @@
     return cacheHash;
   }
 
+  /** Returns the hash of the replica's id, boxed once because each placement looks it up. */
+  Long boxedNameHash() {
+    return nameHash;
+  }
+
+  /** Returns the hash of the replica's cache, boxed once because each placement looks it up. */
+  Long boxedCacheHash() {
+    return cacheHash;
+  }
+
   static long cacheHash(Replica replica) {
     return RendezvousHashing.hash(replica.id() + '@' + replica.startedMillis());
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -1,15 +1,12 @@
 package org.coltsfootvale.core.dispatch;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.quarantine.PromptQuarantine;
@@ -32,12 +29,7 @@
   /** How long a departed replica still serves fetches from its cache. */
   private static final Duration DEPARTED_FETCH_MAX = Duration.ofSeconds(2);
 
-  private static final Comparator<DispatchRequest> QUEUE_ORDER =
-      Comparator.comparingInt(DispatchRequest::urgency)
-          .thenComparingLong(request -> request.arrivedNanos() + request.latencyGoalNanos());
-
   private final DispatchOptions options;
-  private final PeerRequestCounts peers;
   private final PromptQuarantine quarantine;
   private final LongSupplier nanoTime;
   private final UniformRandomProvider random;
@@ -46,7 +38,8 @@
   private final PromptCacheLocations locations;
   private final Map<String, ReplicaState> replicas = new HashMap<>();
   private final Map<Long, Departed> departed = new HashMap<>();
-  private final List<DispatchRequest> waiting = new ArrayList<>();
+  private final WaitingQueue waiting = new WaitingQueue(this::waitEndNanos);
+  private final OpenReplicas openReplicas;
   private final SlidingWindowCounter completions = new SlidingWindowCounter(RATE_WINDOW.toNanos());
 
   /**
@@ -69,11 +62,11 @@
       LongSupplier nanoTime,
       UniformRandomProvider random) {
     this.options = options;
-    this.peers = peers;
     this.quarantine = quarantine;
     this.nanoTime = nanoTime;
     this.random = random;
     this.locations = locations;
+    this.openReplicas = new OpenReplicas(options, peers);
     this.prefixAffinity = new PrefixAffinityStrategy(options, locations, peers, nanoTime);
     this.leastLoaded = new LeastLoadedStrategy(options, ownDataCentre, peers, nanoTime, random);
   }
@@ -192,22 +185,33 @@
     }
     long earliestPlacementNanos = earliestPlacementNanos();
     // Availability is evaluated again only after a placement, not for each queued request.
-    boolean availableForPrompts = anyAvailable(PrefixAffinityStrategy.LOAD_PER_SLOT_MAX);
-    boolean availableForOthers = anyAvailable(LeastLoadedStrategy.LOAD_PER_SLOT_MAX);
-    for (DispatchRequest request : new ArrayList<>(waiting)) {
-      boolean available =
-          request.description().prompt().isEmpty() ? availableForOthers : availableForPrompts;
-      Placement selection = available ? selectReplica(request) : null;
+    openReplicas.update(replicas.values(), nanoTime.getAsLong());
+    if (queueIsBlocked(earliestPlacementNanos)) {
+      return;
+    }
+    for (DispatchRequest request : waiting.copy()) {
+      Placement selection = openReplicas.admits(request) ? selectReplica(request) : null;
       if (selection != null && waiting.remove(request)) {
         place(request, selection);
-        availableForPrompts = anyAvailable(PrefixAffinityStrategy.LOAD_PER_SLOT_MAX);
-        availableForOthers = anyAvailable(LeastLoadedStrategy.LOAD_PER_SLOT_MAX);
+        openReplicas.update(replicas.values(), nanoTime.getAsLong());
+        if (queueIsBlocked(earliestPlacementNanos)) {
+          return;
+        }
       } else if (selection == null
           && earliestPlacementNanos >= waitEndNanos(request)
           && waiting.remove(request)) {
         request.onRefused(refusal(request));
       }
     }
+    waiting.updateEarliestEnd();
+  }
+
+  /** Returns whether no replica is open for any queued request and no waiting time has ended. */
+  private boolean queueIsBlocked(long earliestPlacementNanos) {
+    boolean open =
+        (waiting.prompts() > 0 && openReplicas.anyForPrompts())
+            || (waiting.others() > 0 && openReplicas.anyForOthers());
+    return !open && earliestPlacementNanos < waiting.earliestEndNanos();
   }
 
   /** Refuses queued requests whose prompts were put into quarantine. */
@@ -215,7 +219,7 @@
     if (quarantine.isEmpty()) {
       return;
     }
-    for (DispatchRequest request : new ArrayList<>(waiting)) {
+    for (DispatchRequest request : waiting.copy()) {
       Optional<Duration> delay = quarantine.refusal(request.partKeys());
       if (delay.isPresent() && waiting.remove(request)) {
         request.onRefused(new Refusal(Refusal.Reason.PROMPT_QUARANTINED, delay.get()));
@@ -223,27 +227,10 @@
     }
   }
 
-  /** Returns whether any replica is available and below a load per slot. */
-  private boolean anyAvailable(double loadPerSlotMax) {
-    long now = nanoTime.getAsLong();
-    long reportAgeMaxNanos = options.reportAgeMax().toNanos();
-    for (ReplicaState replica : replicas.values()) {
-      double load = replica.load(peers.inFlightAt(replica.nameHash()), now, reportAgeMaxNanos);
-      if (load < loadPerSlotMax * Math.max(1, replica.replica().slots()) && replica.available()) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private void enqueue(DispatchRequest request) {
-    int position = waiting.size();
-    while (position > 0 && QUEUE_ORDER.compare(request, waiting.get(position - 1)) < 0) {
-      position--;
-    }
-    waiting.add(position, request);
+    int position = waiting.add(request);
     if (waiting.size() > WAITING_MAX) {
-      DispatchRequest last = waiting.remove(waiting.size() - 1);
+      DispatchRequest last = waiting.removeLast();
       last.onRefused(refusal(last));
     }
     if (position < WAITING_MAX) {
@@ -271,7 +258,7 @@
     int heldTokens = 0;
     for (DispatchRequest.SharedPrefix prefix : request.sharedPrefixes()) {
       Set<Long> holders = locations.holders(prefix.hash());
-      if (holders.contains(replica.cacheHash())) {
+      if (holders.contains(replica.boxedCacheHash())) {
         heldTokens = prefix.tokens();
         break;
       }
@@ -286,21 +273,30 @@
 
   private int holdersInUse(long part) {
     Set<Long> holders = locations.holders(part);
-    return (int)
-        replicas.values().stream().filter(state -> holders.contains(state.cacheHash())).count();
+    int inUse = 0;
+    if (!holders.isEmpty()) {
+      for (ReplicaState replica : replicas.values()) {
+        inUse += holders.contains(replica.boxedCacheHash()) ? 1 : 0;
+      }
+    }
+    return inUse;
   }
 
   private Optional<HostPort> fetchSource(Set<Long> holders) {
-    long oldest = nanoTime.getAsLong() - DEPARTED_FETCH_MAX.toNanos();
+    long now = nanoTime.getAsLong();
+    long oldest = now - DEPARTED_FETCH_MAX.toNanos();
     departed.values().removeIf(departure -> departure.atNanos() - oldest < 0);
-    return Stream.concat(
-            replicas.values().stream()
-                .filter(state -> holders.contains(state.cacheHash()))
-                .filter(state -> !state.health().suspended())
-                .map(state -> state.replica().address()),
-            departed.entrySet().stream()
-                .filter(entry -> holders.contains(entry.getKey()))
-                .map(entry -> entry.getValue().address()))
+    if (holders.isEmpty()) {
+      return Optional.empty();
+    }
+    for (ReplicaState replica : replicas.values()) {
+      if (holders.contains(replica.boxedCacheHash()) && !replica.health().suspended(now)) {
+        return Optional.of(replica.replica().address());
+      }
+    }
+    return departed.entrySet().stream()
+        .filter(entry -> holders.contains(entry.getKey()))
+        .map(entry -> entry.getValue().address())
         .findFirst();
   }
 
@@ -325,21 +321,30 @@
 
   /** Returns the earliest time at which a replica accepts requests: now, unless all are paused. */
   private long earliestPlacementNanos() {
-    return nanoTime.getAsLong() + pauseLeft().toNanos();
+    long now = nanoTime.getAsLong();
+    return now + pauseLeftNanos(now);
   }
 
   /** Returns the time until the first pause ends if all replicas are paused, otherwise zero. */
   private Duration pauseLeft() {
-    Duration soonest = replicas.isEmpty() ? Duration.ZERO : ReplicaHealth.PAUSE_MAX;
+    return Duration.ofNanos(pauseLeftNanos(nanoTime.getAsLong()));
+  }
+
+  private long pauseLeftNanos(long now) {
+    long soonest = replicas.isEmpty() ? 0 : ReplicaHealth.PAUSE_MAX.toNanos();
     for (ReplicaState replica : replicas.values()) {
-      Duration remaining = replica.health().pauseRemaining();
-      soonest = remaining.compareTo(soonest) < 0 ? remaining : soonest;
+      soonest = Math.min(soonest, replica.health().pauseRemainingNanos(now));
+      if (soonest == 0) {
+        break;
+      }
     }
     return soonest;
   }
 
   private boolean excludesAll(DispatchRequest request) {
-    return !replicas.isEmpty() && replicas.values().stream().allMatch(request::excludes);
+    return !replicas.isEmpty()
+        && request.excludedReplicas() >= replicas.size()
+        && replicas.values().stream().allMatch(request::excludes);
   }
 
   private Refusal refusal(DispatchRequest request) {
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/RendezvousHashing.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/support/RendezvousHashing.java
@@ -50,6 +50,14 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns the rank of a node for a key: of nodes of equal weight, the one with the highest rank
+   * has the highest score. Cheaper than the score, which is an increasing function of it.
+   */
+  public static long rank(long keyHash, long nodeHash) {
+    return HASHER.hashLongLongToLong(keyHash, nodeHash) >>> 11;
+  }
+
   /**
    * Returns the score of a node for a key.
    *
@@ -58,8 +66,7 @@
    * @param weight the node's share of the keys relative to other nodes, more than 0
    */
   public static double score(long keyHash, long nodeHash, double weight) {
-    long mixed = HASHER.hashLongLongToLong(keyHash, nodeHash);
-    double uniform = ((mixed >>> 11) + 0.5) * UNIT;
+    double uniform = (rank(keyHash, nodeHash) + 0.5) * UNIT;
     return -weight / Math.log(uniform);
   }
 }
--- a/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
+++ b/coltsfootvale-verify/src/main/java/org/coltsfootvale/verify/VerifyMain.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import org.coltsfootvale.verify.cost.CostCommand;
 import org.coltsfootvale.verify.memory.MemoryCommand;
+import org.coltsfootvale.verify.placement.PlacementCommand;
 import org.coltsfootvale.verify.policy.LimitsCommand;
 import org.coltsfootvale.verify.policy.PolicyCommand;
 import org.coltsfootvale.verify.quarantine.QuarantineCommand;
@@ -26,6 +27,7 @@
     return switch (command) {
       case "cost" -> new CostCommand(System.out).run(rest);
       case "memory" -> new MemoryCommand(System.out).run();
+      case "placement" -> new PlacementCommand(System.out).run();
       case "policy" -> new PolicyCommand(System.out).run(rest);
       case "limits" -> new LimitsCommand(System.out).run(rest);
       case "quarantine" -> new QuarantineCommand(System.out).run();
@@ -41,7 +43,7 @@
 
   private static int usage() {
     System.err.println(
-        "commands: cost | limits | memory | policy | quarantine"
+        "commands: cost | limits | memory | placement | policy | quarantine"
             + " | slopes [--gossip KIND] [--routers N] [--seed S]");
     return EXIT_USAGE;
   }
