--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ColdAdmission.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ColdAdmission.java
@@ -69,7 +69,7 @@
   }
 
   /** Returns an admission without a bound. */
-  static ColdAdmission off() {
+  public static ColdAdmission off() {
     return new ColdAdmission(
         ColdOptions.OFF, "", List::of, Optional::empty, () -> 0, decision -> {});
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ReplicaState.java
@@ -13,8 +13,8 @@
 
   private final ReplicaHealth health;
   private final ColdAdmission coldAdmission;
-  private final long nameHash;
-  private final long cacheHash;
+  private final Long nameHash;
+  private final Long cacheHash;
   private Replica replica;
   private int inFlight;
   private long pendingPrefillTokens;
@@ -51,12 +51,13 @@
 
   /**
    * Returns whether the replica can take another request of this router, regardless of its load.
+   * Evaluated once for each replica and placement.
    */
-  boolean available() {
+  boolean available(long nowNanos) {
     boolean probationFull = health.onProbation() && inFlight >= PROBATION_REQUESTS_MAX;
     return !evacuated
-        && !health.suspended()
-        && !health.paused()
+        && !health.suspended(nowNanos)
+        && !health.paused(nowNanos)
         && !probationFull
         && coldAdmission.admits(replica);
   }
@@ -121,6 +122,16 @@
     return cacheHash;
   }
 
+  /** Returns the hash of the replica's id, boxed once because each placement looks it up. */
+  Long boxedNameHash() {
+    return nameHash;
+  }
+
+  /** Returns the hash of the replica's cache, boxed once because each placement looks it up. */
+  Long boxedCacheHash() {
+    return cacheHash;
+  }
+
   static long cacheHash(Replica replica) {
     return RendezvousHashing.hash(replica.id() + '@' + replica.startedMillis());
   }
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ServiceDispatcher.java
@@ -1,17 +1,13 @@
 package org.coltsfootvale.core.dispatch;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.coltsfootvale.core.model.HostPort;
 import org.coltsfootvale.core.quarantine.PromptQuarantine;
 import org.coltsfootvale.core.replica.Replica;
 import org.coltsfootvale.core.support.SlidingWindowCounter;
@@ -29,15 +25,7 @@
   /** The window over which the completion rate is measured for retry delays. */
   private static final Duration RATE_WINDOW = Duration.ofSeconds(2);
 
-  /** How long a departed replica still serves fetches from its cache. */
-  private static final Duration DEPARTED_FETCH_MAX = Duration.ofSeconds(2);
-
-  private static final Comparator<DispatchRequest> QUEUE_ORDER =
-      Comparator.comparingInt(DispatchRequest::urgency)
-          .thenComparingLong(request -> request.arrivedNanos() + request.latencyGoalNanos());
-
   private final DispatchOptions options;
-  private final PeerRequestCounts peers;
   private final PromptQuarantine quarantine;
   private final LongSupplier nanoTime;
   private final UniformRandomProvider random;
@@ -46,8 +34,9 @@
   private final ReplicaSelectionStrategy leastLoaded;
   private final PromptCacheLocations locations;
   private final Map<String, ReplicaState> replicas = new HashMap<>();
-  private final Map<Long, Departed> departed = new HashMap<>();
-  private final List<DispatchRequest> waiting = new ArrayList<>();
+  private final CachedPrefixLookup cachedPrefixes;
+  private final WaitingQueue waiting = new WaitingQueue(this::waitEndNanos);
+  private final OpenReplicas openReplicas;
   private final SlidingWindowCounter completions = new SlidingWindowCounter(RATE_WINDOW.toNanos());
   private Set<String> evacuated = Set.of();
 
@@ -74,11 +63,12 @@
       ColdAdmission coldAdmission) {
     this.coldAdmission = coldAdmission;
     this.options = options;
-    this.peers = peers;
     this.quarantine = quarantine;
     this.nanoTime = nanoTime;
     this.random = random;
     this.locations = locations;
+    this.cachedPrefixes = new CachedPrefixLookup(options, locations, replicas.values(), nanoTime);
+    this.openReplicas = new OpenReplicas(options, peers);
     this.prefixAffinity = new PrefixAffinityStrategy(options, locations, peers, nanoTime);
     this.leastLoaded = new LeastLoadedStrategy(options, ownDataCentre, peers, nanoTime, random);
   }
@@ -117,7 +107,7 @@
     }
     replicas.remove(replica.id());
     coldAdmission.onRemoved(replica);
-    departed.put(current.cacheHash(), new Departed(replica.address(), nanoTime.getAsLong()));
+    cachedPrefixes.onDeparture(current);
     return true;
   }
 
@@ -211,22 +201,33 @@
     }
     long earliestPlacementNanos = earliestPlacementNanos();
     // Availability is evaluated again only after a placement, not for each queued request.
-    boolean availableForPrompts = anyAvailable(PrefixAffinityStrategy.LOAD_PER_SLOT_MAX);
-    boolean availableForOthers = anyAvailable(LeastLoadedStrategy.LOAD_PER_SLOT_MAX);
-    for (DispatchRequest request : new ArrayList<>(waiting)) {
-      boolean available =
-          request.description().prompt().isEmpty() ? availableForOthers : availableForPrompts;
-      Placement selection = available ? selectReplica(request) : null;
+    openReplicas.update(replicas.values(), nanoTime.getAsLong());
+    if (queueIsBlocked(earliestPlacementNanos)) {
+      return;
+    }
+    for (DispatchRequest request : waiting.copy()) {
+      Placement selection = openReplicas.admits(request) ? selectReplica(request) : null;
       if (selection != null && waiting.remove(request)) {
         place(request, selection);
-        availableForPrompts = anyAvailable(PrefixAffinityStrategy.LOAD_PER_SLOT_MAX);
-        availableForOthers = anyAvailable(LeastLoadedStrategy.LOAD_PER_SLOT_MAX);
+        openReplicas.update(replicas.values(), nanoTime.getAsLong());
+        if (queueIsBlocked(earliestPlacementNanos)) {
+          return;
+        }
       } else if (selection == null
           && earliestPlacementNanos >= waitEndNanos(request)
           && waiting.remove(request)) {
         request.onRefused(refusal(request));
       }
     }
+    waiting.updateEarliestEnd();
+  }
+
+  /** Returns whether no replica is open for any queued request and no waiting time has ended. */
+  private boolean queueIsBlocked(long earliestPlacementNanos) {
+    boolean open =
+        (waiting.prompts() > 0 && openReplicas.anyForPrompts())
+            || (waiting.others() > 0 && openReplicas.anyForOthers());
+    return !open && earliestPlacementNanos < waiting.earliestEndNanos();
   }
 
   /** Refuses queued requests whose prompts were put into quarantine. */
@@ -234,7 +235,7 @@
     if (quarantine.isEmpty()) {
       return;
     }
-    for (DispatchRequest request : new ArrayList<>(waiting)) {
+    for (DispatchRequest request : waiting.copy()) {
       Optional<Duration> delay = quarantine.refusal(request.partKeys());
       if (delay.isPresent() && waiting.remove(request)) {
         request.onRefused(new Refusal(Refusal.Reason.PROMPT_QUARANTINED, delay.get()));
@@ -242,27 +243,10 @@
     }
   }
 
-  /** Returns whether any replica is available and below a load per slot. */
-  private boolean anyAvailable(double loadPerSlotMax) {
-    long now = nanoTime.getAsLong();
-    long reportAgeMaxNanos = options.reportAgeMax().toNanos();
-    for (ReplicaState replica : replicas.values()) {
-      double load = replica.load(peers.inFlightAt(replica.nameHash()), now, reportAgeMaxNanos);
-      if (load < loadPerSlotMax * Math.max(1, replica.replica().slots()) && replica.available()) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private void enqueue(DispatchRequest request) {
-    int position = waiting.size();
-    while (position > 0 && QUEUE_ORDER.compare(request, waiting.get(position - 1)) < 0) {
-      position--;
-    }
-    waiting.add(position, request);
+    int position = waiting.add(request);
     if (waiting.size() > WAITING_MAX) {
-      DispatchRequest last = waiting.remove(waiting.size() - 1);
+      DispatchRequest last = waiting.removeLast();
       last.onRefused(refusal(last));
     }
     if (position < WAITING_MAX) {
@@ -275,54 +259,13 @@
     replica.onRequestPlaced(request, nanoTime.getAsLong());
     Placement placement = selection;
     if (!request.description().prompt().isEmpty()) {
-      placement = selection.withCached(cachedPrefix(request, replica));
+      placement = selection.withCached(cachedPrefixes.find(request, replica));
       quarantine.onSent(request.partKeys());
       request.sharedPrefixes().forEach(prefix -> locations.recordPlacement(prefix.hash(), replica));
     }
     request.onPlaced(placement);
   }
 
-  /** Returns the prefix that the chosen replica holds, and a replica to fetch a longer one from. */
-  private CachedPrefix cachedPrefix(DispatchRequest request, ReplicaState replica) {
-    DispatchRequest.SharedPrefix longest = request.sharedPrefixes().get(0);
-    Optional<HostPort> source = Optional.empty();
-    int fetchTokens = 0;
-    int heldTokens = 0;
-    for (DispatchRequest.SharedPrefix prefix : request.sharedPrefixes()) {
-      Set<Long> holders = locations.holders(prefix.hash());
-      if (holders.contains(replica.cacheHash())) {
-        heldTokens = prefix.tokens();
-        break;
-      }
-      if (source.isEmpty() && prefix.tokens() >= options.fetchTokensMin()) {
-        source = fetchSource(holders);
-        fetchTokens = source.isPresent() ? prefix.tokens() : 0;
-      }
-    }
-    int holders = holdersInUse(longest.hash());
-    return new CachedPrefix(longest.tokens(), heldTokens, fetchTokens, source, holders);
-  }
-
-  private int holdersInUse(long part) {
-    Set<Long> holders = locations.holders(part);
-    return (int)
-        replicas.values().stream().filter(state -> holders.contains(state.cacheHash())).count();
-  }
-
-  private Optional<HostPort> fetchSource(Set<Long> holders) {
-    long oldest = nanoTime.getAsLong() - DEPARTED_FETCH_MAX.toNanos();
-    departed.values().removeIf(departure -> departure.atNanos() - oldest < 0);
-    return Stream.concat(
-            replicas.values().stream()
-                .filter(state -> holders.contains(state.cacheHash()))
-                .filter(state -> !state.health().suspended())
-                .map(state -> state.replica().address()),
-            departed.entrySet().stream()
-                .filter(entry -> holders.contains(entry.getKey()))
-                .map(entry -> entry.getValue().address()))
-        .findFirst();
-  }
-
   private @Nullable Placement selectReplica(DispatchRequest request) {
     if (request.description().prompt().isEmpty()) {
       return leastLoaded.select(request, replicas.values());
@@ -347,11 +290,14 @@
    * maximum if all are in evacuated data centres.
    */
   private long earliestPlacementNanos() {
-    return allEvacuated() ? Long.MAX_VALUE : nanoTime.getAsLong() + pauseLeft().toNanos();
+    long now = nanoTime.getAsLong();
+    return allEvacuated() ? Long.MAX_VALUE : now + pauseLeftNanos(now);
   }
 
   private boolean allEvacuated() {
-    return !replicas.isEmpty() && replicas.values().stream().allMatch(ReplicaState::evacuated);
+    return !evacuated.isEmpty()
+        && !replicas.isEmpty()
+        && replicas.values().stream().allMatch(ReplicaState::evacuated);
   }
 
   /**
@@ -359,19 +305,28 @@
    * paused, otherwise zero.
    */
   private Duration pauseLeft() {
+    return Duration.ofNanos(pauseLeftNanos(nanoTime.getAsLong()));
+  }
+
+  private long pauseLeftNanos(long now) {
     if (replicas.isEmpty() || allEvacuated()) {
-      return Duration.ZERO;
+      return 0;
     }
-    Duration soonest = ReplicaHealth.PAUSE_MAX;
+    long soonest = ReplicaHealth.PAUSE_MAX.toNanos();
     for (ReplicaState replica : replicas.values()) {
-      Duration remaining = replica.evacuated() ? soonest : replica.health().pauseRemaining();
-      soonest = remaining.compareTo(soonest) < 0 ? remaining : soonest;
+      if (!replica.evacuated()) {
+        soonest = Math.min(soonest, replica.health().pauseRemainingNanos(now));
+      }
+      if (soonest == 0) {
+        break;
+      }
     }
     return soonest;
   }
 
   private boolean excludesAll(DispatchRequest request) {
     return !replicas.isEmpty()
+        && (!evacuated.isEmpty() || request.excludedReplicas() >= replicas.size())
         && replicas.values().stream()
             .allMatch(replica -> replica.evacuated() || request.excludes(replica));
   }
@@ -396,7 +351,4 @@
     return pauseLeft()
         .plus(RetryDelay.compute(waiting.size(), completed, RATE_WINDOW, random.nextDouble()));
   }
-
-  /** A replica that has departed and may still serve fetches from its cache. */
-  private record Departed(HostPort address, long atNanos) {}
 }
