Keep all listeners together within the descriptors of the host

Cause: the least limit of each listener of the directory and of readiness was 64, so that with 512 descriptors 234 callers and 2 x 64 others were admitted, more than the 312 that the host has for sockets. In runs of the class alone the router opens 80 files less from the class path of the tests, which hid it.

Change: a 32nd of the descriptors for each of these listeners, 16 at least. The expected values of two tests follow; a new test holds the sum of all listeners below the descriptors for sockets.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/ConnectionLimit.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/ConnectionLimit.java
@@ -13,14 +13,21 @@
  */
 public final class ConnectionLimit<C extends ConnectionLimit.Connection> {
 
-  /** The least limit of a listener, also on a host with few descriptors. */
-  private static final long CONNECTIONS_MIN = 64;
+  /** The least limit of the callers' listener, also on a host with few descriptors. */
+  private static final long CALLERS_MIN = 64;
+
+  /** The least limit of another listener; a check of the platform needs one connection. */
+  private static final long ENDPOINT_MIN = 16;
 
   /** Descriptors for files, peers, the store and the other listeners of a router. */
   private static final long RESERVED_DESCRIPTORS = 200;
 
-  /** One in this many descriptors is for a listener of the directory, readiness or metrics. */
-  private static final long ENDPOINT_DIVISOR = 16;
+  /**
+   * One in this many descriptors is for a listener of the directory, readiness or metrics. Together
+   * with the callers' share, three of them leave room for connections to replicas, peers and the
+   * store.
+   */
+  private static final long ENDPOINT_DIVISOR = 32;
 
   /** The state of a connection. */
   public interface Connection {
@@ -47,7 +54,7 @@
    * @param descriptors the descriptors that the host allows; no limit if empty
    */
   public static <C extends Connection> ConnectionLimit<C> ofCallers(OptionalLong descriptors) {
-    return of(descriptors, (descriptors.orElse(0) - RESERVED_DESCRIPTORS) * 3 / 4);
+    return of(descriptors, CALLERS_MIN, (descriptors.orElse(0) - RESERVED_DESCRIPTORS) * 3 / 4);
   }
 
   /**
@@ -56,13 +63,13 @@
    * @param descriptors the descriptors that the host allows; no limit if empty
    */
   public static <C extends Connection> ConnectionLimit<C> ofEndpoint(OptionalLong descriptors) {
-    return of(descriptors, descriptors.orElse(0) / ENDPOINT_DIVISOR);
+    return of(descriptors, ENDPOINT_MIN, descriptors.orElse(0) / ENDPOINT_DIVISOR);
   }
 
   private static <C extends Connection> ConnectionLimit<C> of(
-      OptionalLong descriptors, long connectionsMax) {
+      OptionalLong descriptors, long connectionsMin, long connectionsMax) {
     return new ConnectionLimit<>(
-        descriptors.isPresent() ? Math.max(CONNECTIONS_MIN, connectionsMax) : Long.MAX_VALUE);
+        descriptors.isPresent() ? Math.max(connectionsMin, connectionsMax) : Long.MAX_VALUE);
   }
 
   /**
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/overload/ConnectionLimitTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/overload/ConnectionLimitTest.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.core.overload;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -63,14 +64,26 @@
   public void limitsFollowTheDescriptorsOfTheHost() {
     OptionalLong descriptors = OptionalLong.of(4_100);
     assertEquals(accepted(ConnectionLimit.ofCallers(descriptors)), 2_925);
-    assertEquals(accepted(ConnectionLimit.ofEndpoint(descriptors)), 256);
+    assertEquals(accepted(ConnectionLimit.ofEndpoint(descriptors)), 128);
   }
 
   @Test
   public void aHostWithFewDescriptorsStillGetsConnections() {
     OptionalLong descriptors = OptionalLong.of(100);
     assertEquals(accepted(ConnectionLimit.ofCallers(descriptors)), 64);
-    assertEquals(accepted(ConnectionLimit.ofEndpoint(descriptors)), 64);
+    assertEquals(accepted(ConnectionLimit.ofEndpoint(descriptors)), 16);
+  }
+
+  /** Guards against listeners that together use more than the host has for sockets. */
+  @Test
+  public void allListenersTogetherLeaveDescriptorsForOtherConnections() {
+    for (int descriptors = 512; descriptors < 10_000; descriptors += 100) {
+      OptionalLong allowed = OptionalLong.of(descriptors);
+      int listeners =
+          accepted(ConnectionLimit.ofCallers(allowed))
+              + 3 * accepted(ConnectionLimit.ofEndpoint(allowed));
+      assertTrue(listeners < descriptors - 200, listeners + " of " + descriptors);
+    }
   }
 
   @Test
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/EndpointListenerTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/EndpointListenerTest.java
@@ -48,7 +48,7 @@
   private static final int STAYS_OPEN_MILLIS = 100;
 
   /** The limit on a host with few descriptors. */
-  private static final int CONNECTIONS_MAX = 64;
+  private static final int CONNECTIONS_MAX = 16;
 
   private static final int PORT_MIN = 12_000;
   private static final int PORT_MAX = 32_000;
