--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ColdAdmission.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/dispatch/ColdAdmission.java
@@ -29,7 +29,7 @@
   enum Cause {
     /** Its entry states so. */
     ENTRY,
-    /** A connection to it failed, so that it may have restarted. */
+    /** It refused a connection, so that it may have restarted. */
     CONNECTION_FAILURE
   }
 
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/ConnectionLimit.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/ConnectionLimit.java
@@ -19,7 +19,7 @@
   /** The least limit of another listener; a check of the platform needs one connection. */
   private static final long ENDPOINT_MIN = 16;
 
-  /** Descriptors for files, peers, the store and the other listeners of a router. */
+  /** Descriptors that the host reserves for files; sockets share the remainder. */
   private static final long RESERVED_DESCRIPTORS = 200;
 
   /**
