Reject answers without a valid status line

Cause: the decoder reads any number as a status, whatever its length, sign or range, and accepts blanks, tabs and control bytes in and before a status line. Nothing behind it checks the status: one below 500 that is not a success is passed on. A refusal with such a status was believed, too.

Change: AnswerHeadGrammar checks the bytes of a status line against RFC 9112 before they are decoded: HTTP/1.x, one space, a status of three digits from 100 to 599, and a reason without control bytes. A switch of protocols (101) is rejected, as no request asks for one; what followed it was read until the time-out. The connection of a malformed answer is closed and its answer is lost, so that the request counts as one that may have run. Up to eight empty lines before a status line are skipped as before. The decoder is that of all answers on connections to replicas and to the store.

Ruled out: a check of the decoded head, as the decoder drops the bytes that make it malformed.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerDecoder.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerDecoder.java
@@ -2,23 +2,31 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
- * Decodes the answers on a connection that carries one request at a time. Bytes that arrive while
- * no answer is expected are discarded and reported, as the decoder would keep the start of a head
- * among them and complete it with the next answer.
+ * Decodes the answers on a connection that carries one request at a time. An answer with a
+ * malformed head is not decoded but fails the connection. Bytes that arrive while no answer is
+ * expected are discarded and reported, as the decoder would keep the start of a head among them and
+ * complete it with the next answer.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
 
   private final BooleanSupplier answerExpected;
   private final Consumer<ByteBuf> onUnexpectedBytes;
+  private final AnswerHeadGrammar grammar = new AnswerHeadGrammar();
+
+  /** The number of readable bytes that the grammar has checked and the decoder has not consumed. */
+  private int checkedBytes;
+
   private boolean headRequested;
 
   /**
@@ -40,19 +48,50 @@
   /** Sets the method of the request that is answered next; answers to HEAD have no body. */
   void expectAnswerTo(HttpMethod method) {
     headRequested = method.equals(HttpMethod.HEAD);
+    beginHead();
   }
 
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages)
       throws Exception {
     if (answerExpected.getAsBoolean()) {
-      super.decode(context, bytes, messages);
+      checkHead(bytes);
+      decodeExpected(context, bytes, messages);
     } else if (bytes.isReadable()) {
       onUnexpectedBytes.accept(bytes);
       bytes.skipBytes(bytes.readableBytes());
     }
   }
 
+  private void beginHead() {
+    grammar.begin();
+    checkedBytes = 0;
+  }
+
+  private void checkHead(ByteBuf bytes) {
+    if (grammar.ended()) {
+      return;
+    }
+    int start = bytes.readerIndex() + checkedBytes;
+    int end = bytes.forEachByte(start, bytes.writerIndex() - start, grammar);
+    if (grammar.violation() != null) {
+      throw new CorruptedFrameException(
+          "the head of an answer is malformed: invalid " + grammar.violation());
+    }
+    checkedBytes = (end < 0 ? bytes.writerIndex() : end + 1) - bytes.readerIndex();
+  }
+
+  private void decodeExpected(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages)
+      throws Exception {
+    int start = bytes.readerIndex();
+    int decoded = messages.size();
+    super.decode(context, bytes, messages);
+    checkedBytes = Math.max(0, checkedBytes - (bytes.readerIndex() - start));
+    if (messages.size() > decoded && messages.get(messages.size() - 1) instanceof LastHttpContent) {
+      beginHead();
+    }
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return headRequested || super.isContentAlwaysEmpty(message);
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/SimpleHttpClientTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/SimpleHttpClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertThrows;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootvale.core.model.HostPort;
 import org.testng.annotations.AfterMethod;
@@ -84,6 +86,16 @@
     assertEquals(statusOrFailure(), 0);
   }
 
+  /** Guards against a status that is none and is taken for that of an answer. */
+  @Test
+  public void anAnswerWithoutAValidStatusFailsTheCall() throws Exception {
+    for (String status : List.of("000", "0200", "+200", "99", "600")) {
+      SimpleHttpClient client = client();
+      answer = ANSWER.replace("200", status);
+      assertThrows(ExecutionException.class, () -> call(client));
+    }
+  }
+
   private int statusOrFailure() {
     try {
       return call(client()).status();
