Reject answers with malformed field lines

A replica in trouble sent an answer in whose head the name of a field held a blank or a control byte (seen on other systems).

Cause: the decoder ends the name of a field in an answer at the first blank and skips the rest up to the colon, so that "Content-Length x: 3" sets the length; it takes a line that begins with a blank for a part of the field before it, and a line without a colon for a field without a value. Blanks include some control bytes. Values may hold all control bytes but four.

Change: AnswerHeadGrammar also checks field lines, those of interim answers too: a name is a token directly followed by a colon, and values hold no control bytes but tabs. RFC 9112 lets a gateway reject lines that begin with a blank (5.2). The check of names for a status line in AnswerHeads is part of this one.

Not changed: trailers of a chunked body, which are discarded.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerHeadGrammar.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerHeadGrammar.java
@@ -5,13 +5,17 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Checks the status line of an answer against the grammar of RFC 9112, byte by byte. The decoder
- * accepts more: it reads any number as a status, and skips blanks and control bytes before it.
+ * Checks the head of an answer against the grammar of RFC 9112, byte by byte. The decoder accepts
+ * more: it reads any number as a status, ends the name of a field at a blank, and takes a line that
+ * begins with a blank for a part of the field before it.
  */
 final class AnswerHeadGrammar implements ByteProcessor {
 
   private static final byte[] VERSION_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
+  /** The characters of a field name besides letters and digits. */
+  private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
+
   private static final int STATUS_LENGTH = 3;
 
   /** Requests ask for no other protocol, so that a switch to one is no answer to them. */
@@ -25,7 +29,8 @@
     STATUS_LINE,
     REASON,
     FIELD_START,
-    FIELD,
+    FIELD_NAME,
+    FIELD_VALUE,
     LINE_END,
     ENDED,
     INVALID
@@ -67,9 +72,10 @@
     switch (state) {
       case START -> start(value);
       case STATUS_LINE -> statusLine(value);
-      case REASON -> reason(value);
+      case REASON -> text(value, "reason");
       case FIELD_START -> fieldStart(value);
-      case FIELD -> field(value);
+      case FIELD_NAME -> fieldName(value);
+      case FIELD_VALUE -> text(value, "value of a field");
       case LINE_END -> check(value == '\n', afterLineEnd, "end of a line");
       default -> throw new IllegalStateException("the head has ended: " + state);
     }
@@ -111,11 +117,11 @@
     }
   }
 
-  private void reason(int value) {
+  private void text(int value, String part) {
     if (value == '\r' || value == '\n') {
       endLine(value, State.FIELD_START);
     } else {
-      check(value == '\t' || (value >= ' ' && value != 0x7f), State.REASON, "reason");
+      check(value == '\t' || (value >= ' ' && value != 0x7f), state, part);
     }
   }
 
@@ -123,13 +129,15 @@
     if (value == '\r' || value == '\n') {
       endLine(value, State.ENDED);
     } else {
-      state = State.FIELD;
+      check(token(value), State.FIELD_NAME, "name of a field");
     }
   }
 
-  private void field(int value) {
-    if (value == '\n') {
-      state = State.FIELD_START;
+  private void fieldName(int value) {
+    if (value == ':') {
+      state = State.FIELD_VALUE;
+    } else {
+      check(token(value), State.FIELD_NAME, "name of a field");
     }
   }
 
@@ -158,4 +166,11 @@
   private static boolean digit(int value) {
     return value >= '0' && value <= '9';
   }
+
+  private static boolean token(int value) {
+    return digit(value)
+        || (value >= 'a' && value <= 'z')
+        || (value >= 'A' && value <= 'Z')
+        || TOKEN_SYMBOLS.indexOf(value) >= 0;
+  }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerHeads.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerHeads.java
@@ -20,13 +20,11 @@
 
   /** Returns whether a head is that of a single answer. */
   static boolean single(HttpResponse head) {
-    if (!head.protocolVersion().protocolName().equals(PROTOCOL)
-        || containsStatusLine(head.status().reasonPhrase())) {
+    if (containsStatusLine(head.status().reasonPhrase())) {
       return false;
     }
     for (Map.Entry<String, String> header : head.headers()) {
-      // The decoder ends a name at a space, so that a status line within it ends with the version.
-      if (header.getKey().indexOf('/') >= 0 || containsStatusLine(header.getValue())) {
+      if (containsStatusLine(header.getValue())) {
         return false;
       }
     }
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/AnswerDecoderTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/AnswerDecoderTest.java
@@ -53,6 +53,13 @@
       {"HTTP/1.1 100 Continue\r\n\r\n" + ANSWER.replace("200", "000")},
       {"HTTP/1.1 0100 Continue\r\n\r\n" + ANSWER},
       {"\r\n".repeat(9) + ANSWER},
+      {ANSWER.replace("Name:", "Bad Name:")},
+      {ANSWER.replace("Name:", "Name :")},
+      {ANSWER.replace("Name:", " Name:")},
+      {ANSWER.replace("Name:", "Na\u0001me:")},
+      {ANSWER.replace("Name:", "Name")},
+      {ANSWER.replace("value", "a\rb")},
+      {"HTTP/1.1 100 Continue\r\nBad Name: x\r\n\r\n" + ANSWER},
     };
   }
 
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/SimpleHttpClientTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/SimpleHttpClientTest.java
@@ -96,6 +96,16 @@
     }
   }
 
+  /** Guards against a field line with an invalid name that is read as another field. */
+  @Test
+  public void anAnswerWithAMalformedFieldLineFailsTheCall() throws Exception {
+    for (String line : List.of("Bad Name: x", "Content-Length : 1", " Name: x", "Na\u0001me: x")) {
+      SimpleHttpClient client = client();
+      answer = ANSWER.replace("Content", line + "\r\nContent");
+      assertThrows(ExecutionException.class, () -> call(client));
+    }
+  }
+
   private int statusOrFailure() {
     try {
       return call(client()).status();
