Reject answers in a transfer coding other than chunks

Cause: the decoder ends a body by its chunks, its length or its connection, and leaves any other transfer coding in it. The header is removed, as it concerns one connection only, so that the caller takes the coded bytes, or the chunk framing, for the body.

Change: AnswerDecoder fails the connection of an answer whose Transfer-Encoding is anything but one "chunked". This covers the client of the store, too.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerDecoder.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerDecoder.java
@@ -6,17 +6,19 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
  * Decodes the answers on a connection that carries one request at a time. An answer with a
- * malformed head is not decoded but fails the connection. Bytes that arrive while no answer is
- * expected are discarded and reported, as the decoder would keep the start of a head among them and
- * complete it with the next answer.
+ * malformed head, or in a transfer coding other than chunks, fails the connection. Bytes that
+ * arrive while no answer is expected are discarded and reported, as the decoder would keep the
+ * start of a head among them and complete it with the next answer.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
 
@@ -87,7 +89,20 @@
     int decoded = messages.size();
     super.decode(context, bytes, messages);
     checkedBytes = Math.max(0, checkedBytes - (bytes.readerIndex() - start));
-    if (messages.size() > decoded && messages.get(messages.size() - 1) instanceof LastHttpContent) {
+    if (messages.size() > decoded) {
+      onDecoded(messages, decoded);
+    }
+  }
+
+  private void onDecoded(List<Object> messages, int decoded) {
+    if (messages.get(decoded) instanceof HttpResponse head
+        && !AnswerHeads.transferCodingSupported(head)) {
+      while (messages.size() > decoded) {
+        ReferenceCountUtil.release(messages.remove(messages.size() - 1));
+      }
+      throw new CorruptedFrameException("the transfer coding of an answer is not supported");
+    }
+    if (messages.get(messages.size() - 1) instanceof LastHttpContent) {
       beginHead();
     }
   }
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/SimpleHttpClientTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/SimpleHttpClientTest.java
@@ -106,6 +106,19 @@
     }
   }
 
+  /** Guards against a body that is returned without being decoded. */
+  @Test
+  public void anAnswerInAnotherTransferCodingFailsTheCall() throws Exception {
+    for (String coding : List.of("gzip, chunked", "chunked, gzip", "other")) {
+      SimpleHttpClient client = client();
+      answer =
+          "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: "
+              + coding
+              + "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+      assertThrows(ExecutionException.class, () -> call(client));
+    }
+  }
+
   private int statusOrFailure() {
     try {
       return call(client()).status();
