Bound the memory that answers of faulty replicas occupy

Cause: each answer was bounded, their sum was not. The head of an answer has up to 64 KiB, which take up to 2 MB as objects if the fields are short, and was not charged to the memory for callers, nor were trailers and interim answers. A closed connection kept its decoder with the incomplete head until the next select, so that all those read in one pass added up. Buffered answers without progress kept the memory until their time limits, and new connections were closed meanwhile.

Change: a head has 256 fields at most. Heads above 4 KiB and trailers are charged, and without room the answer is lost. A cancelled connection releases its decoder. If a small request, connection or answer has no room, the buffered answer that has occupied most memory for longest without progress is lost (event response.ended_for_memory). The measure of parsed fields moves from CallerRequestDecoder to UnemittedLines, which both decoders use.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/decision/DecisionEvent.java
@@ -82,6 +82,10 @@
   CALLER_REFUSED_FOR_MEMORY("caller.refused_for_memory", Category.FAILURE),
   /** A connection whose caller does not read was closed, as callers take up too much memory. */
   CALLER_CLOSED_FOR_MEMORY("caller.closed_for_memory", Category.FAILURE),
+  /**
+   * A response of a replica was ended, as it made no progress and there was no memory for others.
+   */
+  RESPONSE_ENDED_FOR_MEMORY("response.ended_for_memory", Category.FAILURE),
   /** A caller sent its request too slowly; it was refused. */
   CALLER_TOO_SLOW("caller.too_slow", Category.FAILURE),
   /** A connection was closed, as its listener had too many. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/CallerCharge.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/CallerCharge.java
@@ -18,7 +18,9 @@
     PIPELINED,
     /** The request that is queued or runs. */
     RUNNING,
-    /** A response on its way from the replica. */
+    /** The head of a response on its way from the replica, and its trailers while they arrive. */
+    RESPONSE_FIELDS,
+    /** The body of a response on its way from the replica. */
     BUFFERED_RESPONSE,
     /** A response that was written and not sent. */
     UNSENT_RESPONSE
@@ -37,6 +39,7 @@
   private long progressNanos;
   private long pausedSinceNanos;
   private boolean paused;
+  private long responseNanos;
   private long remainingResponseBytes;
   private long readNanos;
 
@@ -130,6 +133,22 @@
     set(Use.PIPELINED, 0);
   }
 
+  /** Returns the bytes of a response on its way from the replica. */
+  public long responseBytes() {
+    return get(Use.RESPONSE_FIELDS) + get(Use.BUFFERED_RESPONSE);
+  }
+
+  /** Records that bytes of a response have arrived from the replica. */
+  void onResponseProgress(long nowNanos) {
+    responseNanos = nowNanos;
+  }
+
+  /** Releases the bytes of a response on its way from the replica. */
+  public void releaseResponse() {
+    set(Use.RESPONSE_FIELDS, 0);
+    set(Use.BUFFERED_RESPONSE, 0);
+  }
+
   /** Releases all bytes, as the connection is closed; further calls have no effect. */
   public void close() {
     if (closed()) {
@@ -164,6 +183,11 @@
     return (paused ? pausedSinceNanos : nowNanos) - progressNanos;
   }
 
+  /** Returns how long no bytes of the response have arrived from the replica. */
+  long responseStalledNanos(long nowNanos) {
+    return nowNanos - responseNanos;
+  }
+
   /** Returns how long the caller has read nothing of the response that waits for it, or 0. */
   long unreadNanos(long nowNanos) {
     return remainingResponseBytes > 0 ? nowNanos - readNanos : 0;
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/CallerMemoryBudget.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/CallerMemoryBudget.java
@@ -23,6 +23,9 @@
   /** Requests and responses up to this size are admitted to the whole capacity. */
   public static final long LARGE_BYTES = 64 * 1024;
 
+  /** The heads of responses up to this size are part of the charge of a connection. */
+  public static final long SMALL_BYTES = 4 * 1024;
+
   /** A shorter time without progress is common on a busy network or host. */
   private static final long STALLED_NANOS = Duration.ofMillis(500).toNanos();
 
@@ -113,9 +116,7 @@
    * large responses that wait for each other would leave no room for a small one.
    */
   public boolean responseFits(CallerCharge charge, long moreBytes) {
-    long response =
-        charge.get(CallerCharge.Use.BUFFERED_RESPONSE)
-            + charge.get(CallerCharge.Use.UNSENT_RESPONSE);
+    long response = charge.responseBytes() + charge.get(CallerCharge.Use.UNSENT_RESPONSE);
     boolean large = response + moreBytes > LARGE_BYTES;
     return heldBytes + moreBytes <= (large ? capacity / 8 * 7 : capacity);
   }
@@ -187,6 +188,37 @@
     return longest;
   }
 
+  /** Records that bytes of a response have arrived from its replica. */
+  public void onResponseProgress(CallerCharge charge) {
+    charge.onResponseProgress(nanoTime.getAsLong());
+  }
+
+  /**
+   * Returns the response that has wasted most while no bytes of it arrive, or null if none stands
+   * still: its replica is silent, or it waits for room that others like it occupy.
+   *
+   * @param requesting the charge that is to grow
+   */
+  public @Nullable CallerCharge stalledResponse(CallerCharge requesting) {
+    long now = nanoTime.getAsLong();
+    CallerCharge stalled = null;
+    double stalledWeight = 0;
+    for (int i = 0; i < charges.size(); i++) {
+      CallerCharge charge = charges.get(i);
+      long held = charge.responseBytes();
+      long quietNanos = charge.responseStalledNanos(now);
+      double weight = (double) held * quietNanos;
+      if (charge != requesting
+          && held > SMALL_BYTES
+          && quietNanos >= STALLED_NANOS
+          && weight > stalledWeight) {
+        stalled = charge;
+        stalledWeight = weight;
+      }
+    }
+    return stalled;
+  }
+
   void add(long bytes) {
     heldBytes += bytes;
   }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/overload/CallerMemoryBudgetTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/overload/CallerMemoryBudgetTest.java
@@ -40,6 +40,9 @@
           @Override
           public void refuseRequest() {}
 
+          @Override
+          public void endResponse() {}
+
           @Override
           public void close() {}
         });
@@ -54,6 +57,16 @@
     return charge;
   }
 
+  /** Opens a connection whose response made progress at a time in milliseconds. */
+  private CallerCharge response(long atMillis, long fieldBytes, long bodyBytes) {
+    nowNanos = TimeUnit.MILLISECONDS.toNanos(atMillis);
+    CallerCharge charge = open(budget);
+    budget.onResponseProgress(charge);
+    charge.set(Use.RESPONSE_FIELDS, fieldBytes);
+    charge.set(Use.BUFFERED_RESPONSE, bodyBytes);
+    return charge;
+  }
+
   private void waitUntil(long millis) {
     nowNanos = TimeUnit.MILLISECONDS.toNanos(millis);
   }
@@ -237,4 +250,35 @@
     waitUntil(999);
     assertSame(budget.unreadToClose(), reading);
   }
+
+  /** Guards against replicas that fall silent within large answers and keep all the memory. */
+  @Test
+  public void theResponseThatHasWastedMostIsTheStalledOne() {
+    CallerCharge requesting = open(budget);
+    response(0, 8_192, 0);
+    CallerCharge wasting = response(100, 60_000, 60_000);
+    response(590, 0, MEGABYTE);
+    waitUntil(900);
+    assertSame(budget.stalledResponse(requesting), wasting);
+    assertSame(budget.stalledResponse(wasting), budget.charges().get(1));
+  }
+
+  @Test
+  public void aSmallResponseOrOneThatArrivesIsNotStalled() {
+    CallerCharge requesting = open(budget);
+    response(0, 0, CallerMemoryBudget.SMALL_BYTES);
+    response(600, 0, MEGABYTE);
+    waitUntil(900);
+    assertNull(budget.stalledResponse(requesting));
+  }
+
+  @Test
+  public void theHeadOfAResponseCountsWithItsBody() {
+    CallerCharge charge = response(0, 3 * MEGABYTE, 3 * MEGABYTE);
+    assertEquals(charge.responseBytes(), 6 * MEGABYTE);
+    assertEquals(budget.heldBytes(), 6 * MEGABYTE);
+    assertFalse(budget.responseFits(charge, 2 * MEGABYTE));
+    charge.releaseResponse();
+    assertEquals(budget.heldBytes(), 0);
+  }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerDecoder.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerDecoder.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 /**
  * Decodes the answers on a connection that carries one request at a time. An answer with a
@@ -24,11 +25,18 @@
 
   private final BooleanSupplier answerExpected;
   private final Consumer<ByteBuf> onUnexpectedBytes;
+  private final LongConsumer onFieldBytes;
   private final AnswerHeadGrammar grammar = new AnswerHeadGrammar();
 
   /** The number of readable bytes that the grammar has checked and the decoder has not consumed. */
   private int checkedBytes;
 
+  private final UnemittedLines unemitted = new UnemittedLines();
+
+  /** The memory of the head that was emitted last. */
+  private long headBytes;
+
+  private long reportedBytes;
   private boolean headRequested;
 
   /**
@@ -37,22 +45,39 @@
    * @param config the limits of heads and chunks
    * @param answerExpected whether a request awaits the rest of its answer
    * @param onUnexpectedBytes receives bytes that belong to no answer
+   * @param onFieldBytes receives the memory of the head of the answer, and of its trailers while
+   *     they arrive, when it changes
    */
   AnswerDecoder(
       HttpDecoderConfig config,
       BooleanSupplier answerExpected,
-      Consumer<ByteBuf> onUnexpectedBytes) {
+      Consumer<ByteBuf> onUnexpectedBytes,
+      LongConsumer onFieldBytes) {
     super(config);
     this.answerExpected = answerExpected;
     this.onUnexpectedBytes = onUnexpectedBytes;
+    this.onFieldBytes = onFieldBytes;
   }
 
   /** Sets the method of the request that is answered next; answers to HEAD have no body. */
   void expectAnswerTo(HttpMethod method) {
     headRequested = method.equals(HttpMethod.HEAD);
+    headBytes = 0;
+    reportedBytes = 0;
+    unemitted.onEmitted();
     beginHead();
   }
 
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    super.channelRead(context, message);
+    long held = headBytes + unemitted.heldBytes(internalBuffer());
+    if (held != reportedBytes && answerExpected.getAsBoolean()) {
+      reportedBytes = held;
+      onFieldBytes.accept(held);
+    }
+  }
+
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages)
       throws Exception {
@@ -90,18 +115,23 @@
     super.decode(context, bytes, messages);
     checkedBytes = Math.max(0, checkedBytes - (bytes.readerIndex() - start));
     if (messages.size() > decoded) {
-      onDecoded(messages, decoded);
+      onDecoded(messages, decoded, bytes.readerIndex() - start);
+    } else if (bytes.readerIndex() > start) {
+      unemitted.onParsed(bytes, start);
     }
   }
 
-  private void onDecoded(List<Object> messages, int decoded) {
-    if (messages.get(decoded) instanceof HttpResponse head
-        && !AnswerHeads.transferCodingSupported(head)) {
-      while (messages.size() > decoded) {
-        ReferenceCountUtil.release(messages.remove(messages.size() - 1));
+  private void onDecoded(List<Object> messages, int decoded, int lastBytes) {
+    if (messages.get(decoded) instanceof HttpResponse head) {
+      if (!AnswerHeads.transferCodingSupported(head)) {
+        while (messages.size() > decoded) {
+          ReferenceCountUtil.release(messages.remove(messages.size() - 1));
+        }
+        throw new CorruptedFrameException("the transfer coding of an answer is not supported");
       }
-      throw new CorruptedFrameException("the transfer coding of an answer is not supported");
+      headBytes = unemitted.headBytes(lastBytes, head.headers().size());
     }
+    unemitted.onEmitted();
     if (messages.get(messages.size() - 1) instanceof LastHttpContent) {
       beginHead();
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerHeadGrammar.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerHeadGrammar.java
@@ -24,6 +24,12 @@
   /** The maximum number of empty lines before a status line. */
   private static final int EMPTY_LINES_MAX = 8;
 
+  /**
+   * The maximum number of fields. Short ones occupy many times their size as objects, and no server
+   * sends that many.
+   */
+  private static final int FIELDS_MAX = 256;
+
   private enum State {
     START,
     STATUS_LINE,
@@ -42,6 +48,7 @@
   private State afterLineEnd = State.START;
 
   private int emptyLines;
+  private int fields;
   private int position;
   private int status;
   private @Nullable String violation;
@@ -50,6 +57,7 @@
   void begin() {
     state = State.START;
     emptyLines = 0;
+    fields = 0;
     position = 0;
     status = 0;
     violation = null;
@@ -128,6 +136,8 @@
   private void fieldStart(int value) {
     if (value == '\r' || value == '\n') {
       endLine(value, State.ENDED);
+    } else if (++fields > FIELDS_MAX) {
+      reject("number of fields");
     } else {
       check(token(value), State.FIELD_NAME, "name of a field");
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerReceiver.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerReceiver.java
@@ -24,6 +24,9 @@
    */
   AnswerOwner onHead(HttpResponse head, boolean soleRequest);
 
+  /** Receives the memory of the head, and of the trailers while they arrive, when it changes. */
+  void onFieldBytes(long bytes);
+
   /** Receives a part of the body; the buffer is released afterwards. */
   void onContent(ByteBuf content);
 
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaConnection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/ReplicaConnection.java
@@ -38,13 +38,16 @@
   /** The maximum number of body bytes of such answers that are skipped. */
   private static final int SKIPPED_BYTES_MAX = 1024 * 1024;
 
-  private final AnswerDecoder decoder;
   private final EmbeddedAnswerDetector embedded = new EmbeddedAnswerDetector();
   private final LongSupplier nanoTime;
   private final Consumer<ReplicaConnection> onIdle;
   private final Consumer<ReplicaConnection> onClosed;
   private final Runnable onDataReceived;
   private Duration idleTimeout;
+
+  /** Null after the connection has been cancelled. */
+  private @Nullable AnswerDecoder decoder;
+
   private @Nullable Channel channel;
   private @Nullable AnswerReceiver receiver;
   private boolean skippingAnswer;
@@ -62,7 +65,9 @@
       Runnable onDataReceived,
       Consumer<ReplicaConnection> onIdle,
       Consumer<ReplicaConnection> onClosed) {
-    this.decoder = new AnswerDecoder(decoderConfig, this::answerExpected, this::onUnexpectedBytes);
+    this.decoder =
+        new AnswerDecoder(
+            decoderConfig, this::answerExpected, this::onUnexpectedBytes, this::onFieldBytes);
     this.idleTimeout = idleTimeout;
     this.nanoTime = nanoTime;
     this.onDataReceived = onDataReceived;
@@ -74,7 +79,9 @@
   /** Adds the handlers of this connection. */
   void install(ChannelPipeline pipeline) {
     pipeline.addLast(new HttpRequestEncoder());
-    pipeline.addLast(decoder);
+    if (decoder != null) {
+      pipeline.addLast(decoder);
+    }
     pipeline.addLast(this);
   }
 
@@ -91,17 +98,24 @@
     }
   }
 
+  private void onFieldBytes(long bytes) {
+    if (receiver != null) {
+      receiver.onFieldBytes(bytes);
+    }
+  }
+
   /** Sends a request and passes its answer to a receiver. */
   public void send(FullHttpRequest request, AnswerReceiver answerReceiver) {
     Channel open = channel;
-    if (open == null || !open.isActive()) {
+    AnswerDecoder decoding = decoder;
+    if (open == null || decoding == null || !open.isActive()) {
       request.release();
       answerReceiver.onAnswerLost(
           false, new IOException("the connection was closed before the request"));
       return;
     }
     receiver = answerReceiver;
-    decoder.expectAnswerTo(request.method());
+    decoding.expectAnswerTo(request.method());
     answerEnded = false;
     skippingAnswer = false;
     skippedAnswers = 0;
@@ -129,10 +143,23 @@
     receiver = null;
     reusable = false;
     if (channel != null) {
+      releaseDecoder(channel.pipeline());
       channel.close();
     }
   }
 
+  /**
+   * Removes the decoder, which holds the fields of an incomplete head. The selector keeps a closed
+   * channel until it selects again, after all channels that are ready have been read.
+   */
+  private void releaseDecoder(ChannelPipeline pipeline) {
+    AnswerDecoder removed = decoder;
+    decoder = null;
+    if (removed != null && pipeline.context(removed) != null) {
+      pipeline.remove(removed);
+    }
+  }
+
   /** Stops or resumes reading, which applies a slow caller's back-pressure to the replica. */
   public void setAutoRead(boolean on) {
     if (channel != null) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/SimpleHttpClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/SimpleHttpClient.java
@@ -137,7 +137,8 @@
   private final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
     private final AnswerDecoder decoder =
-        new AnswerDecoder(new HttpDecoderConfig(), this::answerExpected, this::onUnexpectedBytes);
+        new AnswerDecoder(
+            new HttpDecoderConfig(), this::answerExpected, this::onUnexpectedBytes, bytes -> {});
     private @Nullable ChannelHandlerContext context;
     private @Nullable CompletableFuture<HttpReply> pending;
     private @Nullable HttpReply received;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerRoom.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerRoom.java
@@ -48,6 +48,17 @@
     return needed;
   }
 
+  /** Records that bytes of the response have arrived. */
+  void onProgress() {
+    memory.onResponseProgress(charge);
+  }
+
+  /** Charges the head and the trailers; returns false without a charge if there is no room. */
+  boolean admitFields(long bytes) {
+    onProgress();
+    return memory.admitResponseFields(charge, bytes);
+  }
+
   /** Returns the capacity that the response waits for. */
   int wantedBytes() {
     return wantedBytes;
@@ -96,6 +107,6 @@
       waiting = null;
       memory.forget(this);
     }
-    charge.set(CallerCharge.Use.BUFFERED_RESPONSE, 0);
+    charge.releaseResponse();
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -220,8 +220,16 @@
                     .replicaPaused(replicaId(), wanted, dispatcher.pause(replica, wanted)));
   }
 
+  @Override
+  public void onFieldBytes(long bytes) {
+    if (!ended && !room.admitFields(bytes)) {
+      lost("there is no memory for the head or the trailers of the answer");
+    }
+  }
+
   @Override
   public void onContent(ByteBuf content) {
+    room.onProgress();
     answer.add(content);
     if (!answer.byEvents()) {
       silence.onReceived();
@@ -391,6 +399,13 @@
     }
   }
 
+  /** Ends an answer that makes no progress, as there is no memory for others. */
+  void onNoMemory() {
+    if (!ended) {
+      lost("the answer made no progress, and its memory was needed for others");
+    }
+  }
+
   /** Pauses or resumes reading from the replica. */
   void setReading(boolean on) {
     room.setCallerReads(on);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
@@ -206,6 +206,13 @@
     }
   }
 
+  @Override
+  public void endResponse() {
+    if (exchange != null) {
+      exchange.endResponse();
+    }
+  }
+
   @Override
   public void close() {
     closing = true;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerMemory.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerMemory.java
@@ -94,10 +94,15 @@
     while (!charge.closed() && !budget.requestFits(charge, more)) {
       @Nullable CallerCharge stalled = budget.stalledRequest(charge, more);
       @Nullable CallerCharge unread = stalled == null ? budget.unreadToClose() : null;
+      boolean large = charge.incompleteBytes() + more > CallerMemoryBudget.LARGE_BYTES;
+      @Nullable CallerCharge response =
+          stalled == null && unread == null && !large ? budget.stalledResponse(charge) : null;
       @Nullable CallerCharge chosen =
           stalled == null ? budget.latestRequest(charge, more) : stalled;
       if (unread != null) {
         close(unread);
+      } else if (response != null) {
+        endResponse(response);
       } else if (chosen == null || chosen == charge) {
         return false;
       } else {
@@ -112,21 +117,46 @@
    * there is no room for them now.
    */
   boolean admitResponse(CallerCharge charge, long bytes) {
-    long more = Math.max(0, bytes - charge.get(CallerCharge.Use.BUFFERED_RESPONSE));
+    return admitResponse(charge, CallerCharge.Use.BUFFERED_RESPONSE, bytes);
+  }
+
+  /**
+   * Charges the head and the trailers of a response; returns false without a charge if there is no
+   * room for them now.
+   */
+  boolean admitResponseFields(CallerCharge charge, long bytes) {
+    long charged = bytes > CallerMemoryBudget.SMALL_BYTES ? bytes : 0;
+    return admitResponse(charge, CallerCharge.Use.RESPONSE_FIELDS, charged);
+  }
+
+  private boolean admitResponse(CallerCharge charge, CallerCharge.Use use, long bytes) {
+    long more = Math.max(0, bytes - charge.get(use));
     if (!budget.responseFits(charge, more)) {
       updateUnsent();
     }
     while (!budget.responseFits(charge, more)) {
       @Nullable CallerCharge unread = budget.unreadToClose();
-      if (unread == null) {
+      // A large response waits for others, as it may itself be one that makes no progress.
+      boolean large = charge.responseBytes() + more > CallerMemoryBudget.LARGE_BYTES;
+      @Nullable CallerCharge stalled =
+          unread == null && !large ? budget.stalledResponse(charge) : null;
+      if (unread != null) {
+        close(unread);
+      } else if (stalled != null) {
+        endResponse(stalled);
+      } else {
         return false;
       }
-      close(unread);
     }
-    charge.set(CallerCharge.Use.BUFFERED_RESPONSE, bytes);
+    charge.set(use, bytes);
     return !charge.closed();
   }
 
+  /** Records that bytes of a response have arrived from its replica. */
+  void onResponseProgress(CallerCharge charge) {
+    budget.onResponseProgress(charge);
+  }
+
   private void updateUnsent() {
     List<CallerCharge> charges = budget.charges();
     for (int i = 0; i < charges.size(); i++) {
@@ -140,6 +170,12 @@
     charge.releaseIncomplete();
   }
 
+  private void endResponse(CallerCharge charge) {
+    record(DecisionEvent.RESPONSE_ENDED_FOR_MEMORY, charge);
+    charge.connection().endResponse();
+    charge.releaseResponse();
+  }
+
   private void close(CallerCharge charge) {
     record(DecisionEvent.CALLER_CLOSED_FOR_MEMORY, charge);
     charge.connection().close();
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerRequestDecoder.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerRequestDecoder.java
@@ -9,7 +9,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import java.util.List;
 import java.util.Queue;
-import org.coltsfootvale.core.overload.CallerMemoryBudget;
+import org.coltsfootvale.router.http.UnemittedLines;
 
 /**
  * Decodes the requests of a caller, and measures the memory of what has not been emitted: the
@@ -26,10 +26,9 @@
   }
 
   private final Queue<HttpMethod> methods;
+  private final UnemittedLines unemitted = new UnemittedLines();
   private HeldBytesListener listener = bytes -> {};
   private long reportedBytes;
-  private long parsedBytes;
-  private long parsedLines;
   private long headBytes;
   private boolean ambiguousFraming;
 
@@ -72,11 +71,7 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
     super.channelRead(context, message);
-    ByteBuf rest = internalBuffer();
-    long held =
-        parsedBytes
-            + parsedLines * CallerMemoryBudget.OBJECT_BYTES
-            + (rest.isReadable() ? rest.capacity() : 0);
+    long held = unemitted.heldBytes(internalBuffer());
     if (held != reportedBytes) {
       reportedBytes = held;
       listener.onHeldBytes(held);
@@ -92,31 +87,15 @@
     super.decode(context, bytes, messages);
     if (messages.size() == emitted) {
       if (bytes.readerIndex() > start) {
-        countParsed(bytes, start);
+        unemitted.onParsed(bytes, start);
       }
       return;
     }
     if (messages.get(emitted) instanceof HttpRequest head) {
       methods.add(head.method());
-      headBytes =
-          parsedBytes
-              + bytes.readerIndex()
-              - start
-              + (1 + head.headers().size()) * CallerMemoryBudget.OBJECT_BYTES;
-    }
-    parsedBytes = 0;
-    parsedLines = 0;
-  }
-
-  /** Counts parsed lines that were not emitted; blank lines before a head are not kept. */
-  private void countParsed(ByteBuf bytes, int start) {
-    for (int i = start; i < bytes.readerIndex(); i++) {
-      byte read = bytes.getByte(i);
-      if (parsedBytes > 0 || read < 0 || read > ' ') {
-        parsedBytes++;
-        parsedLines += read == '\n' ? 1 : 0;
-      }
+      headBytes = unemitted.headBytes(bytes.readerIndex() - start, head.headers().size());
     }
+    unemitted.onEmitted();
   }
 
   @Override
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -178,6 +178,13 @@
     }
   }
 
+  /** Ends the answer of a replica that makes no progress, as there is no memory for others. */
+  void endResponse() {
+    if (attempt != null) {
+      attempt.onNoMemory();
+    }
+  }
+
   /** Ends the request with its final answer before this router stops. */
   void onRouterStopping() {
     if (!ended) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/LogRateLimits.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/LogRateLimits.java
@@ -21,6 +21,7 @@
         List.of(
             DecisionEvent.CALLER_REFUSED_FOR_MEMORY,
             DecisionEvent.CALLER_CLOSED_FOR_MEMORY,
+            DecisionEvent.RESPONSE_ENDED_FOR_MEMORY,
             DecisionEvent.CALLER_TOO_SLOW,
             DecisionEvent.CALLER_CONNECTION_LIMIT)) {
       limited = new RateLimitedDecisionLog(limited, event, CALLER_INTERVAL, nanoTime);
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/AnswerDecoderTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/AnswerDecoderTest.java
@@ -30,6 +30,7 @@
       {"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + ANSWER},
       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nName: x\r\n\r\n"},
       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"},
+      {ANSWER.replace("Name: value\r\n", "a:b\r\n".repeat(255))},
       {ANSWER.replace("hello", "\u0000\r\n:\n")},
     };
   }
@@ -59,6 +60,7 @@
       {ANSWER.replace("Name:", "Na\u0001me:")},
       {ANSWER.replace("Name:", "Name")},
       {ANSWER.replace("value", "a\rb")},
+      {ANSWER.replace("Name: value\r\n", "a:b\r\n".repeat(256))},
       {"HTTP/1.1 100 Continue\r\nBad Name: x\r\n\r\n" + ANSWER},
     };
   }
@@ -75,7 +77,8 @@
 
   /** Returns the last status that is decoded from the parts, and the body. */
   private static String decode(String... parts) {
-    AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig(), () -> true, bytes -> {});
+    AnswerDecoder decoder =
+        new AnswerDecoder(new HttpDecoderConfig(), () -> true, bytes -> {}, bytes -> {});
     EmbeddedChannel channel = new EmbeddedChannel(decoder);
     decoder.expectAnswerTo(HttpMethod.GET);
     StringBuilder decoded = new StringBuilder();
