Fail unframed answers whose upload was reset on the product's own interface

The caller got that part as a complete answer.

Cause: the write reports the reset. OkHttp then reads the answer nonetheless, and the read finds the end of the data instead of the reset.

Change: AnswerInterceptor observes the writing of the request. If it has failed, an answer with neither a length nor chunks is lost.

Evidence: BrokenServiceAnswersTest on the code before: failed in the first of 60 resets, in three of three runs ("200 part"). With the change three of three runs passed.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/AnswerInterceptor.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/AnswerInterceptor.java
@@ -4,11 +4,16 @@
 import java.net.ProtocolException;
 import okhttp3.Headers;
 import okhttp3.Interceptor;
+import okhttp3.Request;
+import okhttp3.RequestBody;
 import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Network interceptor that rejects answers which OkHttp accepts though their heads violate RFC
- * 9112.
+ * Network interceptor that rejects answers which OkHttp accepts though they are malformed or cut: a
+ * head that violates RFC 9112, and an answer without framing whose request could not be sent
+ * completely. After the write has failed with the reset of the connection, a read finds the end of
+ * the data, which looks like the end of such an answer.
  */
 public final class AnswerInterceptor {
 
@@ -24,12 +29,28 @@
   private AnswerInterceptor() {}
 
   /**
-   * Sends the request and checks the head of its answer.
+   * Sends the request and checks its answer.
    *
-   * @throws IOException if the answer is malformed, besides the failures of the call
+   * @throws IOException if the answer is malformed or cut, besides the failures of the call
    */
   public static Response intercept(Interceptor.Chain chain) throws IOException {
-    return checkHead(chain.proceed(chain.request()));
+    Request request = chain.request();
+    @Nullable RequestBody body = request.body();
+    if (body == null) {
+      return checkHead(chain.proceed(request));
+    }
+    ObservedRequestBody observed = new ObservedRequestBody(body);
+    Response response =
+        chain.proceed(request.newBuilder().method(request.method(), observed).build());
+    if (observed.failed() && endsWithConnection(response)) {
+      throw new IOException("the connection was lost before the answer was complete");
+    }
+    return checkHead(response);
+  }
+
+  private static boolean endsWithConnection(Response response) {
+    return response.header("Content-Length") == null
+        && response.header("Transfer-Encoding") == null;
   }
 
   private static Response checkHead(Response response) throws IOException {
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/BrokenServiceAnswersTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/BrokenServiceAnswersTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
@@ -11,10 +12,12 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Answers of plain services that violate HTTP/1.1 are not passed on. */
+/** Answers of plain services that violate HTTP/1.1, or that are reset, are not passed on. */
 public class BrokenServiceAnswersTest {
 
   private static final String REST = "Content-Length: 5\r\n\r\nhello";
+  private static final int RESETS = 60;
+  private static final String LONG_BODY = "y".repeat(1_500_000);
 
   @SuppressWarnings("NullAway.Init")
   private ServingFixture fixture;
@@ -60,6 +63,25 @@
     assertTrue(passedOn.isEmpty(), String.join("\n", passedOn));
   }
 
+  /**
+   * Guards against a reset that is noticed by a write, so that the read after it finds the end of
+   * the data, and the part that has arrived is passed on as a complete answer.
+   */
+  @Test
+  public void anAnswerThatIsResetWhileItsRequestIsStillBeingSentIsNotComplete() {
+    for (int i = 0; i < RESETS; i++) {
+      long pauseMillis = i % 10;
+      fixture.raw.setBehaviour(
+          (body, connection) -> {
+            RawService.write(connection, "HTTP/1.1 200 OK\r\n\r\npart");
+            sleep(pauseMillis);
+            // A mere close would send the end of the data first.
+            connection.setSoLinger(true, 0);
+          });
+      assertEquals(statusOrBroken(post(LONG_BODY)), "broken or 502", "after " + pauseMillis);
+    }
+  }
+
   @Test
   public void anAnswerWithoutALengthIsPassedOn() throws Exception {
     fixture.raw.answerWith("HTTP/1.1 200 OK\r\nX-Name: \u00e9 \t x\r\nX-Empty:\r\n\r\nhello");
@@ -77,7 +99,26 @@
     }
   }
 
+  private String statusOrBroken(HttpRequest.Builder request) {
+    try {
+      HttpResponse<String> answer = fixture.send(request);
+      return answer.statusCode() == 502 ? "broken or 502" : answer.statusCode() + answer.body();
+    } catch (IOException broken) {
+      return "broken or 502";
+    } catch (InterruptedException e) {
+      throw new AssertionError("the test was interrupted", e);
+    }
+  }
+
   private HttpRequest.Builder post(String body) {
     return fixture.request("/v1/services/raw/x").POST(HttpRequest.BodyPublishers.ofString(body));
   }
+
+  private static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      throw new AssertionError("the test was interrupted", e);
+    }
+  }
 }
