Bound events, reports and cache lists of faulty servers

An answer beyond that is broken off, and the engine's chat is resumed as after any break.

Evidence: ChatServingTest on the code before: both cases of an event without end failed, as 64 MB of it were read. They pass now. The limits of reports and lists have no test that failed before; SimpleHttpClientTest covers the limit itself.

--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/EngineStreamListener.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/EngineStreamListener.java
@@ -16,6 +16,7 @@
   private final CallWatchdog.Watch watch;
   private final long tokenTimeoutMillis;
   private final EngineClient.ChunkConsumer consumer;
+  private long eventsRead;
   private boolean chunkReceived;
   private boolean complete;
   private @Nullable RuntimeException consumerFailure;
@@ -37,6 +38,7 @@
   @Override
   public void onEvent(EventSource source, @Nullable String id, @Nullable String type, String data) {
     watch.onActivity();
+    eventsRead++;
     if (complete) {
       return;
     }
@@ -69,6 +71,11 @@
     streamFailure = failure;
   }
 
+  /** Returns the number of events that have been read. */
+  long eventsRead() {
+    return eventsRead;
+  }
+
   /** Returns whether a chunk of this answer has arrived. */
   boolean chunkReceived() {
     return chunkReceived;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/backend/OkHttpEngineClient.java
@@ -73,7 +73,7 @@
     EngineStreamListener events =
         new EngineStreamListener(
             chunkReader, sequence, watch, settings.tokenTimeoutMillis(), consumer);
-    EventSources.processResponse(response, events);
+    EventSources.processResponse(EventSizeLimit.apply(response, events::eventsRead), events);
     @Nullable RuntimeException consumerFailure = events.consumerFailure();
     if (consumerFailure != null) {
       throw consumerFailure;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/EngineProbe.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/EngineProbe.java
@@ -24,6 +24,7 @@
 import org.coltsfootvale.core.model.EngineLoad;
 import org.coltsfootvale.core.release.EngineSpec;
 import org.coltsfootvale.core.release.FleetState;
+import org.coltsfootvale.router.backend.BoundedBody;
 
 /** Probes the load of the engines that this router observes, a bounded number per tick. */
 public final class EngineProbe {
@@ -31,6 +32,8 @@
   /** Bounds the probe traffic regardless of the number of observed engines. */
   private static final int PROBES_PER_TICK = 2;
 
+  private static final long REPORT_BYTES_MAX = 64 * 1024;
+
   private final OkHttpClient client;
   private final ObjectMapper mapper;
   private final Membership membership;
@@ -108,7 +111,7 @@
         onProbeFailed(engine);
         return;
       }
-      JsonNode report = mapper.readTree(body.bytes());
+      JsonNode report = mapper.readTree(BoundedBody.read(body, REPORT_BYTES_MAX));
       inProgress.remove(engine);
       membership.onEngineReport(
           engine,
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/HttpOrderTransport.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/control/HttpOrderTransport.java
@@ -27,6 +27,7 @@
 import org.coltsfootvale.core.release.EngineSpec;
 import org.coltsfootvale.core.release.FleetState;
 import org.coltsfootvale.core.release.PoolSpec;
+import org.coltsfootvale.router.backend.BoundedBody;
 import org.jspecify.annotations.Nullable;
 
 /** Sends orders to engines over HTTP. */
@@ -34,6 +35,7 @@
 
   private static final MediaType JSON = MediaType.get("application/json");
   private static final int CONFLICT = 409;
+  private static final long ANSWER_BYTES_MAX = 64 * 1024;
 
   private final OkHttpClient client;
   private final ObjectMapper mapper;
@@ -132,7 +134,7 @@
     @Override
     public void onResponse(Call call, Response response) {
       try (ResponseBody body = response.body()) {
-        JsonNode node = mapper.readTree(body.bytes());
+        JsonNode node = mapper.readTree(BoundedBody.read(body, ANSWER_BYTES_MAX));
         result.complete(new Answer(resultOf(response.code()), node));
       } catch (IOException e) {
         onFailure(call, e);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/SimpleHttpClient.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/SimpleHttpClient.java
@@ -34,16 +34,27 @@
 public final class SimpleHttpClient {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-  private static final int BODY_BYTES_MAX = 8 * 1024 * 1024;
+  private static final int DEFAULT_BODY_BYTES_MAX = 8 * 1024 * 1024;
 
   private final ServingLoop loop;
   private final HostPort address;
+  private final int bodyBytesMax;
   private final Deque<Channel> idle = new ArrayDeque<>();
 
   /** Creates a client for an address. */
   public SimpleHttpClient(ServingLoop loop, HostPort address) {
+    this(loop, address, DEFAULT_BODY_BYTES_MAX);
+  }
+
+  /**
+   * Creates a client for an address.
+   *
+   * @param bodyBytesMax the maximum size of the body of an answer; larger ones fail the call
+   */
+  public SimpleHttpClient(ServingLoop loop, HostPort address, int bodyBytesMax) {
     this.loop = loop;
     this.address = address;
+    this.bodyBytesMax = bodyBytesMax;
   }
 
   /**
@@ -147,7 +158,7 @@
     void install(ChannelPipeline pipeline) {
       pipeline.addLast(new HttpRequestEncoder());
       pipeline.addLast(decoder);
-      pipeline.addLast(new HttpObjectAggregator(BODY_BYTES_MAX));
+      pipeline.addLast(new HttpObjectAggregator(bodyBytesMax));
       pipeline.addLast(this);
     }
 
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ChatServingTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/ChatServingTest.java
@@ -89,7 +89,8 @@
     return new Object[][] {
       {Fault.BREAK_AFTER_TWO, true}, {Fault.BREAK_AFTER_TWO, false},
       {Fault.MISSING_CHUNK, true}, {Fault.MISSING_CHUNK, false},
-      {Fault.NO_END_MARKER, true}, {Fault.NO_LAST_CHUNK, true}
+      {Fault.NO_END_MARKER, true}, {Fault.NO_LAST_CHUNK, true},
+      {Fault.ENDLESS_EVENT, true}, {Fault.ENDLESS_EVENT, false}
     };
   }
 
@@ -102,6 +103,8 @@
             ? text(answer)
             : MAPPER.readTree(answer.body()).at("/choices/0/message/content").asText();
     assertEquals(text, TEXT);
+    assertTrue(
+        fixture.first.endlessBytes.get() < StubEngine.ENDLESS_BYTES_MAX, "no event was bounded");
     assertEquals(fixture.first.receivedRequests.size(), 2);
     StubEngine.ReceivedRequest original = fixture.first.receivedRequests.remove();
     StubEngine.ReceivedRequest resumed = fixture.first.receivedRequests.remove();
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/StubEngine.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/caller/StubEngine.java
@@ -24,6 +24,9 @@
 
   static final List<String> WORDS = List.of("A", " coot", " sits", " on", " the", " pond");
 
+  /** The bytes of an event without end after which the engine gives up. */
+  static final int ENDLESS_BYTES_MAX = 64 * 1024 * 1024;
+
   enum Fault {
     NONE,
     FULL,
@@ -37,6 +40,7 @@
     CROSSED_CHUNK,
     CROSSED_ANSWER,
     REPEATED_CHUNK,
+    ENDLESS_EVENT,
     MISSING_CHUNK,
     HELD
   }
@@ -50,6 +54,7 @@
 
   final Queue<Fault> faults = new ConcurrentLinkedQueue<>();
   final Queue<ReceivedRequest> receivedRequests = new ConcurrentLinkedQueue<>();
+  final AtomicInteger endlessBytes = new AtomicInteger();
   final AtomicInteger started = new AtomicInteger();
   final BlockingQueue<String> cancelled = new LinkedBlockingQueue<>();
   final CountDownLatch held = new CountDownLatch(1);
@@ -144,11 +149,27 @@
       case CROSSED_CHUNK -> send(output, chunk("another", 2));
       case REPEATED_CHUNK -> send(output, chunk(id, 1));
       case MISSING_CHUNK -> send(output, chunk(id, 3));
+      case ENDLESS_EVENT -> {
+        sendEndlessEvent(output);
+        return false;
+      }
       default -> {}
     }
     return true;
   }
 
+  private void sendEndlessEvent(OutputStream output) {
+    byte[] part = "data: x".repeat(2_048).getBytes(StandardCharsets.UTF_8);
+    try {
+      while (endlessBytes.get() < ENDLESS_BYTES_MAX) {
+        output.write(part);
+        endlessBytes.addAndGet(part.length);
+      }
+    } catch (IOException expected) {
+      // The router has closed the connection.
+    }
+  }
+
   private void await() {
     held.countDown();
     try {
--- a/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/SimpleHttpClientTest.java
+++ b/coltsfootvale-router/src/test/java/org/coltsfootvale/router/http/SimpleHttpClientTest.java
@@ -119,6 +119,17 @@
     }
   }
 
+  /** Guards against a body without end that is kept as a whole. */
+  @Test
+  public void anAnswerAboveTheMaximumSizeFailsTheCall() throws Exception {
+    SimpleHttpClient bounded =
+        new SimpleHttpClient(loop, new HostPort("127.0.0.1", server.getLocalPort()), 1_000);
+    answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(1_001);
+    assertThrows(ExecutionException.class, () -> call(bounded));
+    answer = ANSWER;
+    assertEquals(call(bounded).status(), 200);
+  }
+
   private int statusOrFailure() {
     try {
       return call(client()).status();
