Never lose ordinary answers for the charge of their fields

The charge of heads counted the whole read buffer while a chunk was incomplete, and checked the room for an answer whose fields took no more than before. With the memory for callers full, answers in chunks and answers beside large bodies would have been lost instead of waiting.

Only an incomplete head counts its read buffer now, and a charge that does not grow is always admitted.

--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/CallerCharge.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/CallerCharge.java
@@ -39,6 +39,7 @@
   private long progressNanos;
   private long pausedSinceNanos;
   private boolean paused;
+  private Runnable endResponse = () -> {};
   private long responseNanos;
   private long remainingResponseBytes;
   private long readNanos;
@@ -143,6 +144,17 @@
     responseNanos = nowNanos;
   }
 
+  /** Sets what ends the response on its way from the replica if others need its memory. */
+  public void onMemoryNeeded(Runnable action) {
+    endResponse = action;
+  }
+
+  /** Ends the response on its way from the replica, and releases its bytes. */
+  public void endResponse() {
+    endResponse.run();
+    releaseResponse();
+  }
+
   /** Releases the bytes of a response on its way from the replica. */
   public void releaseResponse() {
     set(Use.RESPONSE_FIELDS, 0);
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/CallerMemoryBudget.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/CallerMemoryBudget.java
@@ -23,7 +23,10 @@
   /** Requests and responses up to this size are admitted to the whole capacity. */
   public static final long LARGE_BYTES = 64 * 1024;
 
-  /** The heads of responses up to this size are part of the charge of a connection. */
+  /**
+   * Responses up to this size are not ended for others, and heads of responses up to it are part of
+   * the charge of a connection.
+   */
   public static final long SMALL_BYTES = 4 * 1024;
 
   /** A shorter time without progress is common on a busy network or host. */
--- a/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/ChargedConnection.java
+++ b/coltsfootvale-core/src/main/java/org/coltsfootvale/core/overload/ChargedConnection.java
@@ -9,9 +9,6 @@
   /** Answers the incomplete request with 503, and frees what it holds. */
   void refuseRequest();
 
-  /** Ends the response that is read from a replica, as if it had been lost. */
-  void endResponse();
-
   /** Closes the connection. */
   void close();
 }
--- a/coltsfootvale-core/src/test/java/org/coltsfootvale/core/overload/CallerMemoryBudgetTest.java
+++ b/coltsfootvale-core/src/test/java/org/coltsfootvale/core/overload/CallerMemoryBudgetTest.java
@@ -40,9 +40,6 @@
           @Override
           public void refuseRequest() {}
 
-          @Override
-          public void endResponse() {}
-
           @Override
           public void close() {}
         });
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerDecoder.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/http/AnswerDecoder.java
@@ -1,6 +1,7 @@
 package org.coltsfootvale.router.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -71,7 +72,9 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
     super.channelRead(context, message);
-    long held = headBytes + unemitted.heldBytes(internalBuffer());
+    // Behind the head, the rest of a read is mostly the start of a chunk.
+    ByteBuf rest = grammar.ended() ? Unpooled.EMPTY_BUFFER : internalBuffer();
+    long held = headBytes + unemitted.heldBytes(rest);
     if (held != reportedBytes && answerExpected.getAsBoolean()) {
       reportedBytes = held;
       onFieldBytes.accept(held);
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerRoom.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/AnswerRoom.java
@@ -27,6 +27,11 @@
     link = reading;
   }
 
+  /** Sets what ends the response, as if it had been lost, if others need its memory. */
+  void onMemoryNeeded(Runnable endResponse) {
+    charge.onMemoryNeeded(endResponse);
+  }
+
   /**
    * Charges a buffer, and returns the capacity that it may have now.
    *
@@ -107,6 +112,7 @@
       waiting = null;
       memory.forget(this);
     }
+    charge.onMemoryNeeded(() -> {});
     charge.releaseResponse();
   }
 }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Attempt.java
@@ -58,6 +58,7 @@
     this.continuation = lifecycle.answerBegun();
     this.room = caller.answerRoom();
     this.answer = new AnswerBody(room);
+    room.onMemoryNeeded(this::onMemoryNeeded);
     this.silence = new SilenceWatch(context.loop(), context.nanoTime());
     this.evidence = new AttemptEvidence(this, context, replica, exchange.partKeys());
   }
@@ -185,7 +186,7 @@
     if (owner == AnswerOwner.UNKNOWN) {
       return owner;
     }
-    applyHints(response, read);
+    exchange.applyHints(replica, response, read);
     if (owner == AnswerOwner.OTHER_REQUEST) {
       return owner;
     }
@@ -202,24 +203,6 @@
     return owner;
   }
 
-  /** Applies what an answer of any status states about further requests. */
-  private void applyHints(HttpResponse response, AnswerMetadata metadata) {
-    if (response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
-      // Another replica answers at the address.
-      return;
-    }
-    if (metadata.leaving()) {
-      context.replicas().onDepartureAnnounced(replicaId(), replica.replica().startedMillis());
-    }
-    metadata
-        .pause()
-        .ifPresent(
-            wanted ->
-                exchange
-                    .log()
-                    .replicaPaused(replicaId(), wanted, dispatcher.pause(replica, wanted)));
-  }
-
   @Override
   public void onFieldBytes(long bytes) {
     if (!ended && !room.admitFields(bytes)) {
@@ -400,7 +383,7 @@
   }
 
   /** Ends an answer that makes no progress, as there is no memory for others. */
-  void onNoMemory() {
+  void onMemoryNeeded() {
     if (!ended) {
       lost("the answer made no progress, and its memory was needed for others");
     }
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerConnection.java
@@ -206,13 +206,6 @@
     }
   }
 
-  @Override
-  public void endResponse() {
-    if (exchange != null) {
-      exchange.endResponse();
-    }
-  }
-
   @Override
   public void close() {
     closing = true;
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerMemory.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/CallerMemory.java
@@ -126,6 +126,10 @@
    */
   boolean admitResponseFields(CallerCharge charge, long bytes) {
     long charged = bytes > CallerMemoryBudget.SMALL_BYTES ? bytes : 0;
+    if (charged <= charge.get(CallerCharge.Use.RESPONSE_FIELDS)) {
+      charge.set(CallerCharge.Use.RESPONSE_FIELDS, charged);
+      return true;
+    }
     return admitResponse(charge, CallerCharge.Use.RESPONSE_FIELDS, charged);
   }
 
@@ -172,8 +176,7 @@
 
   private void endResponse(CallerCharge charge) {
     record(DecisionEvent.RESPONSE_ENDED_FOR_MEMORY, charge);
-    charge.connection().endResponse();
-    charge.releaseResponse();
+    charge.endResponse();
   }
 
   private void close(CallerCharge charge) {
--- a/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
+++ b/coltsfootvale-router/src/main/java/org/coltsfootvale/router/serving/Exchange.java
@@ -178,13 +178,6 @@
     }
   }
 
-  /** Ends the answer of a replica that makes no progress, as there is no memory for others. */
-  void endResponse() {
-    if (attempt != null) {
-      attempt.onNoMemory();
-    }
-  }
-
   /** Ends the request with its final answer before this router stops. */
   void onRouterStopping() {
     if (!ended) {
@@ -305,6 +298,22 @@
     }
   }
 
+  /** Applies what the answer of a replica, of any status, states about further requests. */
+  void applyHints(ReplicaState replica, HttpResponse response, AnswerMetadata metadata) {
+    if (response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+      // Another replica answers at the address.
+      return;
+    }
+    String replicaId = replica.replica().id();
+    if (metadata.leaving()) {
+      context.replicas().onDepartureAnnounced(replicaId, replica.replica().startedMillis());
+    }
+    metadata
+        .pause()
+        .ifPresent(
+            wanted -> log.replicaPaused(replicaId, wanted, dispatcher.pause(replica, wanted)));
+  }
+
   /** Returns the request to send to a replica. */
   FullHttpRequest requestFor(ReplicaState replica, Optional<HostPort> cacheSource) {
     HttpRequest head = request.head();
