--- a/review/stand-ins-2/review/Router.java
+++ b/review/stand-ins-2/review/Router.java
@@ -143,7 +143,7 @@
   }
 
   private static String ip(int number) {
-    return "127.0.7." + number;
+    return "127.0." + Integer.getInteger("net", 7) + "." + number;
   }
 
   /** Starts the process; the working directory has to be the root of the repository. */
