--- a/review/stand-ins-2/review/Poison.java
+++ b/review/stand-ins-2/review/Poison.java
@@ -23,7 +23,7 @@
   private static final long DEADLY_NANOS = 22_000_000_000L;
   private static final int BACK_AFTER_MILLIS = 3_000;
   private static final int SILENT_ENTRY_MILLIS = 3_600;
-  private static final String DEADLY_PART = "f4402b7d";
+  private static final String DEADLY_PART = System.getProperty("deadly", "f4402b7d");
 
   /** The bound "contactMs" of the deployment. */
   private static final long CONTACT_NANOS = 3_000_000_000L;
