Show that a replica which crashes after 100 ms clears the deadly part

Cause: an answer that has gone on for 100 ms counts as proof that all parts of its prompt are sound, so that a replica which crashes soon after is no evidence.

--- a/review/stand-ins-2/review/CrashingReplica.java
+++ b/review/stand-ins-2/review/CrashingReplica.java
@@ -4,11 +4,12 @@
 import java.net.Socket;
 import java.util.function.Predicate;
 
-/** A model replica that crashes when it begins to answer certain requests. */
+/** A model replica that crashes when it has begun to answer certain requests. */
 final class CrashingReplica extends Replica {
 
   private final Predicate<Http> deadly;
   private final Runnable onCrash;
+  private final int eventsBeforeCrash;
   private final int events;
   private final int pauseMillis;
 
@@ -17,6 +18,7 @@
    *
    * @param deadly returns whether a request crashes the replica
    * @param onCrash called after the crash
+   * @param eventsBeforeCrash the events that it writes before, at the pace of its sound answers
    */
   CrashingReplica(
       String id,
@@ -24,12 +26,14 @@
       Store store,
       Predicate<Http> deadly,
       Runnable onCrash,
+      int eventsBeforeCrash,
       int events,
       int pauseMillis)
       throws IOException {
     super(id, "lintu-llm", slots, store);
     this.deadly = deadly;
     this.onCrash = onCrash;
+    this.eventsBeforeCrash = eventsBeforeCrash;
     this.events = events;
     this.pauseMillis = pauseMillis;
   }
@@ -37,7 +41,12 @@
   @Override
   boolean run(Http request, Socket connection) throws IOException, InterruptedException {
     if (deadly.test(request)) {
-      Thread.sleep(pauseMillis);
+      if (eventsBeforeCrash > 0) {
+        streamHead(request, connection);
+        streamEvents(request, connection, eventsBeforeCrash, pauseMillis);
+      } else {
+        Thread.sleep(pauseMillis);
+      }
       if (crash()) {
         onCrash.run();
       }
--- a/review/stand-ins-2/review/Poison.java
+++ b/review/stand-ins-2/review/Poison.java
@@ -6,12 +6,17 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One part of a prompt crashes each replica that begins to answer it. The prompts have many parts,
- * which sound requests share.
+ * One part of a prompt crashes each replica that begins to write an answer on it. Played twice: with
+ * prompts of many parts, which sound requests share, and replicas that crash before the first event;
+ * and with prompts of three shared parts and replicas that crash behind the fourth event.
  */
 public final class Poison {
 
-  private static final int PARTS = Integer.getInteger("parts", 600);
+  private static final int MANY_PARTS = Integer.getInteger("parts", 600);
+  private static final int FEW_PARTS = 3;
+  private static final int EVENTS_BEFORE_CRASH = Integer.getInteger("events", 4);
+  private static final int EVENTS = 55;
+  private static final int EVENT_PAUSE_MILLIS = 50;
   private static final int SOUND_PER_SECOND = 20;
 
   /** One request in this many has the deadly part. */
@@ -30,6 +35,8 @@
 
   private final Record record;
   private final boolean trouble;
+  private final int parts;
+  private final int eventsBeforeCrash;
   private final List<Long> crashes = new ArrayList<>();
   private final List<Long> deadlyArrivals = new ArrayList<>();
   private final AtomicInteger incarnations = new AtomicInteger();
@@ -38,13 +45,21 @@
   private final AtomicInteger failed = new AtomicInteger();
   private volatile boolean running = true;
 
-  private Poison(Record record, boolean trouble) {
+  private Poison(Record record, boolean trouble, int parts, int eventsBeforeCrash) {
     this.record = record;
     this.trouble = trouble;
+    this.parts = parts;
+    this.eventsBeforeCrash = eventsBeforeCrash;
   }
 
   public static void main(String[] arguments) {
-    Tasks.main(arguments[0], (record, trouble) -> new Poison(record, trouble).play());
+    Tasks.main(
+        arguments[0],
+        (record, trouble) -> {
+          int manyParts = new Poison(record, trouble, MANY_PARTS, 0).play();
+          int laterCrash = new Poison(record, trouble, FEW_PARTS, EVENTS_BEFORE_CRASH).play();
+          return Math.max(manyParts, laterCrash);
+        });
   }
 
   private int play() throws Exception {
@@ -57,7 +72,9 @@
               addReplica(deployment);
             }
           });
-      record.line("routers ready; trouble %s, %d shared parts", trouble, PARTS);
+      record.result(
+          "trouble %s, %d shared parts, %d events before a crash",
+          trouble, parts, eventsBeforeCrash);
       long begin = System.nanoTime();
       for (int i = 0; System.nanoTime() - begin < SOUND_ALONE_NANOS + DEADLY_NANOS; i++) {
         Router router = deployment.routers.get(i % 2);
@@ -82,8 +99,9 @@
             deployment.store,
             request -> deadly(id, request),
             () -> onCrash(id, deployment),
-            55,
-            50));
+            eventsBeforeCrash,
+            EVENTS,
+            EVENT_PAUSE_MILLIS));
   }
 
   private boolean deadly(String replica, Http request) {
@@ -123,7 +141,7 @@
     try (Caller caller = new Caller()) {
       caller.connect(router);
       StringBuilder prompt = new StringBuilder();
-      for (int i = 0; i < PARTS; i++) {
+      for (int i = 0; i < parts; i++) {
         prompt.append(Integer.toHexString(0x10000000 + 0x10101 * i)).append(":20,");
       }
       prompt.append(deadly ? DEADLY_PART + ":20," : "");
--- a/review/stand-ins-2/review/Replica.java
+++ b/review/stand-ins-2/review/Replica.java
@@ -210,19 +210,30 @@
   /** Answers with a stream of events. */
   void stream(Http request, Socket connection, int events, int pauseMillis)
       throws IOException, InterruptedException {
+    streamHead(request, connection);
+    streamEvents(request, connection, events, pauseMillis);
+    connection.getOutputStream().write(Http.bytes("0\r\n\r\n"));
+  }
+
+  void streamHead(Http request, Socket connection) throws IOException {
+    connection
+        .getOutputStream()
+        .write(
+            Http.bytes(
+                "HTTP/1.1 200 OK\r\n"
+                    + sealed(request)
+                    + "Content-Type: text/event-stream\r\nWeight-Versions: 1\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n"));
+  }
+
+  void streamEvents(Http request, Socket connection, int events, int pauseMillis)
+      throws IOException, InterruptedException {
     OutputStream out = connection.getOutputStream();
-    out.write(
-        Http.bytes(
-            "HTTP/1.1 200 OK\r\n"
-                + sealed(request)
-                + "Content-Type: text/event-stream\r\nWeight-Versions: 1\r\n"
-                + "Transfer-Encoding: chunked\r\n\r\n"));
     for (int i = 1; i <= events; i++) {
       Thread.sleep(pauseMillis);
       String event = "id: " + i + "\ndata: " + request.header("attempt-id") + " " + i + "\n\n";
       out.write(Http.bytes(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n"));
     }
-    out.write(Http.bytes("0\r\n\r\n"));
   }
 
   static void answer(OutputStream out, String status, String headers, String body)
