Scripts of review cases: tell a broken rule from a failure of the script

Cause: Java exits with 1 on an error of its own, which the scripts passed on as a broken rule.

The programs exit with 3 for a broken rule, which run.sh turns into 1, and end after 112 s.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,4 +1,13 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -cp target/review-3 SilenceCase review/12
+if [ ! -f target/coltsfootvale-platform.jar ] || [ ! -f target/review-3/SilenceCase.class ]; then
+  echo "run the build of deploy/system.toml and review/build-3.sh first" >&2
+  exit 2
+fi
+java -cp target/review-3 SilenceCase review/12
+case $? in
+  0) exit 0 ;;
+  3) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/part3/Case.java
+++ b/review/part3/Case.java
@@ -21,6 +21,11 @@
       "tenants":[{"name":"org","apiKeys":["key-of-org"],"priority":2},{"name":"urgent","apiKeys":["key-of-urgent"],"priority":0}]}
       """;
 
+  /** The exit status of a broken rule, which a failure of the program itself does not have. */
+  private static final int BROKEN = 3;
+
+  private static final long TIME_LIMIT_MILLIS = 112_000;
+
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
   final Path folder;
   final Record record;
@@ -43,6 +48,12 @@
   abstract int play() throws Exception;
 
   static void run(Case played) {
+    Daemons.start(
+        () -> {
+          Daemons.sleep(TIME_LIMIT_MILLIS);
+          played.record.add("the time of the case is over");
+          System.exit(2);
+        });
     int status = 2;
     Runtime.getRuntime().addShutdownHook(new Thread(played::end));
     try {
@@ -51,8 +62,9 @@
       played.record.add("could not run: " + e);
       e.printStackTrace();
     }
-    played.record.add("exit " + status);
-    System.exit(status);
+    played.record.add(
+        status == 1 ? "the rule was broken" : status == 0 ? "the rule held" : "no judgement");
+    System.exit(status == 1 ? BROKEN : status);
   }
 
   private void end() {
