--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,7 +5,7 @@
   echo "run the build of deploy/system.toml and review/build-3.sh first" >&2
   exit 2
 fi
-java -cp target/review-3 LeavingCase review/13
+TROUBLE=${TROUBLE:-1} java -cp target/review-3 LeavingCase review/13
 case $? in
   0) exit 0 ;;
   3) exit 1 ;;
